--- a/include/tanagervane/edge/backend_client.h
+++ b/include/tanagervane/edge/backend_client.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <unordered_map>
 
-#include "tanagervane/edge/event_loop.h"
 #include "tanagervane/edge/grpc_runtime.h"
+#include "tanagervane/net/event_loop.h"
 #include "tanagervane/query/types.h"
 #include "tanagervane/routing/types.h"
 
--- a/include/tanagervane/edge/backend_pool.h
+++ b/include/tanagervane/edge/backend_pool.h
@@ -12,7 +12,7 @@
 
 #include "tanagervane/document/document.h"
 #include "tanagervane/edge/backend_client.h"
-#include "tanagervane/edge/event_loop.h"
+#include "tanagervane/net/event_loop.h"
 #include "tanagervane/query/query_engine.h"
 #include "tanagervane/state/platform_api.h"
 #include "tanagervane/support/random.h"
--- a/include/tanagervane/edge/gossip.h
+++ b/include/tanagervane/edge/gossip.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "tanagervane/edge/event_loop.h"
 #include "tanagervane/edge/peer_service.h"
+#include "tanagervane/net/event_loop.h"
 #include "tanagervane/routing/quarantine.h"
 #include "tanagervane/state/document_tracker.h"
 #include "tanagervane/state/peer_table.h"
--- a/include/tanagervane/edge/grpc_runtime.h
+++ b/include/tanagervane/edge/grpc_runtime.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <thread>
 
-#include "tanagervane/edge/event_loop.h"
+#include "tanagervane/net/event_loop.h"
 
 namespace tanagervane {
 
--- a/include/tanagervane/edge/operator_api.h
+++ b/include/tanagervane/edge/operator_api.h
@@ -10,8 +10,8 @@
 #include <string>
 
 #include "tanagervane/edge/entry_core.h"
-#include "tanagervane/edge/event_loop.h"
 #include "tanagervane/edge/http.h"
+#include "tanagervane/net/event_loop.h"
 
 namespace tanagervane {
 
--- a/include/tanagervane/edge/peer_service.h
+++ b/include/tanagervane/edge/peer_service.h
@@ -12,8 +12,8 @@
 
 #include "absl/status/statusor.h"
 #include "peer.grpc.pb.h"
-#include "tanagervane/edge/event_loop.h"
 #include "tanagervane/edge/grpc_runtime.h"
+#include "tanagervane/net/event_loop.h"
 #include "tanagervane/support/millis.h"
 
 namespace tanagervane {
--- a/include/tanagervane/edge/settings.h
+++ b/include/tanagervane/edge/settings.h
@@ -36,9 +36,6 @@
 /// Reads and parses the file at `path`.
 absl::StatusOr<EntrySettings> LoadSettings(const std::string& path);
 
-/// Reads a whole file; fails with ErrorCode::kNotFound.
-absl::StatusOr<std::string> ReadFile(const std::string& path);
-
 }  // namespace tanagervane
 
 #endif  // TANAGERVANE_EDGE_SETTINGS_H_
--- a/include/tanagervane/edge/event_loop.h
+++ b/include/tanagervane/net/event_loop.h
@@ -1,7 +1,7 @@
 // The one loop on which every decision is made.
 
-#ifndef TANAGERVANE_EDGE_EVENT_LOOP_H_
-#define TANAGERVANE_EDGE_EVENT_LOOP_H_
+#ifndef TANAGERVANE_NET_EVENT_LOOP_H_
+#define TANAGERVANE_NET_EVENT_LOOP_H_
 
 #include <glib.h>
 
@@ -49,6 +49,9 @@
   /// Calls `task` on the loop for SIGTERM and SIGINT.
   void OnStopSignal(const Task& task);
 
+  /// Calls `task` on the loop for SIGHUP.
+  void OnReloadSignal(const Task& task);
+
   void Run();
   void Quit();
 
@@ -63,4 +66,4 @@
 
 }  // namespace tanagervane
 
-#endif  // TANAGERVANE_EDGE_EVENT_LOOP_H_
+#endif  // TANAGERVANE_NET_EVENT_LOOP_H_
--- a/include/tanagervane/routing/quarantine.h
+++ b/include/tanagervane/routing/quarantine.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERVANE_ROUTING_QUARANTINE_H_
 #define TANAGERVANE_ROUTING_QUARANTINE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -37,10 +38,12 @@
   enum class Verdict {
     kClear,
     kSuspect,  ///< One replica was lost: run on one replica at a time.
-    kRefused,  ///< Two replicas were lost.
+    kRefused,  ///< As many replicas were lost as it takes.
   };
 
-  explicit Quarantine(bool enabled) : m_enabled(enabled) {}
+  /// A request is refused after `refused_after` lost replicas.
+  explicit Quarantine(bool enabled, size_t refused_after = 2)
+      : m_enabled(enabled), m_refused_after(refused_after) {}
 
   Verdict Check(Fingerprint fingerprint, Millis now) const;
 
@@ -86,6 +89,7 @@
   void MergeOne(const QuarantineRecord& record, Millis now);
 
   bool m_enabled;
+  size_t m_refused_after;
   /// Latest time seen; the events without a time of their own use it.
   mutable Millis m_now;
   std::map<Fingerprint, Suspect> m_suspects;
--- /dev/null
+++ b/include/tanagervane/state/kind_follower.h
@@ -0,0 +1,140 @@
+// A copy of all objects of one kind in the platform's store.
+
+#ifndef TANAGERVANE_STATE_KIND_FOLLOWER_H_
+#define TANAGERVANE_STATE_KIND_FOLLOWER_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "nlohmann/json.hpp"
+#include "tanagervane/support/millis.h"
+#include "tanagervane/support/random.h"
+
+namespace tanagervane {
+
+struct StoreObject {
+  std::string name;
+  /// The store's revision at the object's last change.
+  uint64_t revision = 0;
+  nlohmann::json content;
+};
+
+enum class StoreResult {
+  kOk,
+  kHistoryGone,  ///< A watch from this revision is no longer possible.
+  kUnavailable,  ///< No answer, or one that refuses or cannot be read.
+};
+
+std::string_view ToString(StoreResult result);
+
+/// One page of the objects of a kind.
+struct StorePage {
+  std::vector<StoreObject> objects;
+  bool has_more = false;
+  /// The store's revision when the page was made.
+  uint64_t revision = 0;
+};
+
+struct StoreEvent {
+  StoreObject object;
+  bool deleted = false;
+};
+
+struct StoreEvents {
+  std::vector<StoreEvent> events;
+  /// Where the next watch continues.
+  uint64_t revision = 0;
+};
+
+struct KindFollowerHooks {
+  using PageDone = std::function<void(StoreResult, StorePage)>;
+  using EventsDone = std::function<void(StoreResult, StoreEvents)>;
+
+  /// Reads the page after the object `after`; `done` runs once, later.
+  std::function<void(std::string_view after, PageDone done)> list;
+  /// Waits for events after `revision`; `done` runs once, later.
+  std::function<void(uint64_t revision, EventsDone done)> watch;
+  /// Runs a task after a delay.
+  std::function<void(Millis delay, std::function<void()> task)> after;
+
+  /// All objects, after a full read.
+  std::function<void(const std::vector<StoreObject>&)> snapshot;
+  std::function<void(const StoreObject&)> changed;
+  std::function<void(std::string_view name)> removed;
+  /// The store was lost or is back.
+  std::function<void(bool reachable, StoreResult result)> reachable;
+};
+
+struct KindFollowerOptions {
+  /// Delay before the first repeat of a failed call; doubles up to the last.
+  Millis first_backoff{100};
+  Millis last_backoff{800};
+  /// How long a change that another VM has seen may take to come here.
+  Millis deaf_after{700};
+  /// Delay between an event and the next watch. Changes that come together
+  /// are then read with one call.
+  Millis batching{0};
+};
+
+/// Reads all pages, then watches. Reads all again after an outage, when the
+/// history is gone, and when others know of later changes. The object must
+/// outlive its hooks' calls.
+class KindFollower {
+ public:
+  KindFollower(KindFollowerOptions options,
+               KindFollowerHooks hooks,
+               uint64_t seed);
+
+  void Start();
+
+  /// Tells of a change of the kind that another VM has seen, by the store's
+  /// revision. When it has not come here after a while, the watch is deaf and
+  /// everything is read again.
+  void OnRevisionElsewhere(uint64_t revision, Millis now);
+
+  /// The revision of the latest change that was seen.
+  uint64_t last_change() const { return m_last_change; }
+
+  /// True after the first full read.
+  bool has_snapshot() const { return m_has_snapshot; }
+  bool reachable() const { return m_reachable; }
+
+ private:
+  void List();
+  void ListAgain();
+  void OnPage(StoreResult result, StorePage page);
+  void Watch();
+  void OnEvents(StoreResult result, const StoreEvents& events);
+  void Apply(const StoreEvent& event);
+  void RetryList(StoreResult result);
+  void SetReachable(bool reachable, StoreResult result);
+
+  KindFollowerOptions m_options;
+  KindFollowerHooks m_hooks;
+  Random m_random;
+  std::vector<StoreObject> m_pages;
+  uint64_t m_revision = 0;
+  bool m_first_page = true;
+  bool m_has_snapshot = false;
+  bool m_reachable = true;
+  Millis m_backoff;
+  uint64_t m_last_change = 0;
+  /// All changes up to this revision are known: that of the last full read or
+  /// of an event after it.
+  uint64_t m_covered = 0;
+  /// Since when another VM has known of a later change.
+  std::optional<Millis> m_behind_since;
+  /// Tells the calls of the current reading from those given up.
+  uint64_t m_generation = 0;
+  /// Revision of each object, so that a late event undoes nothing newer.
+  std::unordered_map<std::string, uint64_t> m_known;
+};
+
+}  // namespace tanagervane
+
+#endif  // TANAGERVANE_STATE_KIND_FOLLOWER_H_
--- a/include/tanagervane/edge/json_object.h
+++ b/include/tanagervane/support/json_object.h
@@ -1,7 +1,7 @@
 // Strict access to the members of a JSON object.
 
-#ifndef TANAGERVANE_EDGE_JSON_OBJECT_H_
-#define TANAGERVANE_EDGE_JSON_OBJECT_H_
+#ifndef TANAGERVANE_SUPPORT_JSON_OBJECT_H_
+#define TANAGERVANE_SUPPORT_JSON_OBJECT_H_
 
 #include <cstdint>
 #include <limits>
@@ -32,6 +32,7 @@
                     int64_t fallback,
                     int64_t least,
                     int64_t most = std::numeric_limits<int64_t>::max());
+  double NumberOr(const std::string& key, double fallback, double least);
   bool BooleanOr(const std::string& key, bool fallback);
   std::vector<std::string> TextListOr(const std::string& key);
   /// The member as an object; empty when absent.
@@ -62,4 +63,4 @@
 
 }  // namespace tanagervane
 
-#endif  // TANAGERVANE_EDGE_JSON_OBJECT_H_
+#endif  // TANAGERVANE_SUPPORT_JSON_OBJECT_H_
--- a/include/tanagervane/support/log.h
+++ b/include/tanagervane/support/log.h
@@ -4,6 +4,7 @@
 #define TANAGERVANE_SUPPORT_LOG_H_
 
 #include <concepts>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -11,7 +12,14 @@
 
 namespace tanagervane {
 
-/// Writes one line to standard error when destroyed:
+/// Takes each finished line, which ends with a newline.
+using LogSink = std::function<void(std::string_view line)>;
+
+/// Replaces the sink of all log lines of the process, which is standard error
+/// unless this is called. An empty sink restores standard error.
+void SetLogSink(LogSink sink);
+
+/// Hands one line to the log sink when destroyed:
 ///   LogEvent("replica_lost").Field("replica", id).Field("in_flight", 3);
 class LogEvent {
  public:
--- a/lib/edge/caller_api.cc
+++ b/lib/edge/caller_api.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "tanagervane/edge/caller_codec.h"
-#include "tanagervane/edge/json_object.h"
 #include "tanagervane/support/error.h"
+#include "tanagervane/support/json_object.h"
 
 namespace tanagervane {
 
--- a/lib/edge/caller_codec.cc
+++ b/lib/edge/caller_codec.cc
@@ -4,8 +4,8 @@
 
 #include <utility>
 
-#include "tanagervane/edge/json_object.h"
 #include "tanagervane/support/error.h"
+#include "tanagervane/support/json_object.h"
 
 namespace tanagervane {
 
--- a/lib/edge/entry_core.cc
+++ b/lib/edge/entry_core.cc
@@ -8,8 +8,8 @@
 
 #include "fmt/format.h"
 #include "tanagervane/document/parser.h"
-#include "tanagervane/edge/json_object.h"
 #include "tanagervane/support/hash.h"
+#include "tanagervane/support/json_object.h"
 #include "tanagervane/support/log.h"
 
 namespace tanagervane {
--- a/lib/edge/operator_api.cc
+++ b/lib/edge/operator_api.cc
@@ -13,8 +13,8 @@
 #include "fmt/format.h"
 #include "tanagervane/document/parser.h"
 #include "tanagervane/edge/caller_codec.h"
-#include "tanagervane/edge/json_object.h"
 #include "tanagervane/support/error.h"
+#include "tanagervane/support/json_object.h"
 #include "tanagervane/support/log.h"
 
 namespace tanagervane {
--- a/lib/edge/settings.cc
+++ b/lib/edge/settings.cc
@@ -3,12 +3,11 @@
 #include "tanagervane/edge/settings.h"
 
 #include <array>
-#include <fstream>
-#include <sstream>
 #include <utility>
 
-#include "tanagervane/edge/json_object.h"
 #include "tanagervane/support/error.h"
+#include "tanagervane/support/file.h"
+#include "tanagervane/support/json_object.h"
 
 namespace tanagervane {
 
@@ -70,16 +69,6 @@
   return settings;
 }
 
-absl::StatusOr<std::string> ReadFile(const std::string& path) {
-  const std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    return MakeError(ErrorCode::kNotFound, "file cannot be read", path);
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return std::move(text).str();
-}
-
 absl::StatusOr<EntrySettings> LoadSettings(const std::string& path) {
   auto text = ReadFile(path);
   if (!text.ok()) {
--- /dev/null
+++ b/lib/http/reader.cc
@@ -0,0 +1,203 @@
+// Message readers on the parsers of Boost.Beast.
+
+#include "tanagervane/http/reader.h"
+
+// Boost 1.74's Asio uses std::exchange without including it.
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cassert>
+#include <optional>
+
+namespace tanagervane {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+std::string_view ToView(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+template <typename Message>
+HttpFields CopyFields(const Message& message) {
+  HttpFields fields;
+  for (const auto& field : message) {
+    fields.Add(ToView(field.name_string()), ToView(field.value()));
+  }
+  return fields;
+}
+
+/// Feeds `buffer` until the message ends, an error occurs or more is needed.
+template <typename BeastParser>
+boost::beast::error_code Put(BeastParser& parser, std::string& buffer) {
+  boost::beast::error_code error;
+  size_t used = 0;
+  while (used < buffer.size() && !parser.is_done()) {
+    const size_t taken = parser.put(
+        boost::asio::buffer(buffer.data() + used, buffer.size() - used), error);
+    used += taken;
+    if (error || taken == 0) {
+      break;
+    }
+  }
+  buffer.erase(0, used);
+  return error == http::error::need_more ? boost::beast::error_code() : error;
+}
+
+}  // namespace
+
+struct HttpRequestReader::Parser {
+  http::request_parser<http::string_body> beast;
+};
+
+HttpRequestReader::HttpRequestReader(MessageLimits limits) : m_limits(limits) {}
+
+HttpRequestReader::~HttpRequestReader() = default;
+
+ReadState HttpRequestReader::Fail(unsigned status) {
+  m_error_status = status;
+  return ReadState::kInvalid;
+}
+
+ReadState HttpRequestReader::Feed(std::string& buffer) {
+  if (buffer.empty()) {
+    return ReadState::kIncomplete;
+  }
+  if (!m_parser) {
+    m_parser = std::make_unique<Parser>();
+    m_parser->beast.header_limit(static_cast<uint32_t>(m_limits.header_bytes));
+    m_parser->beast.body_limit(m_limits.body_bytes);
+    m_parser->beast.eager(true);
+  }
+  m_begun = true;
+  auto& beast = m_parser->beast;
+  const boost::beast::error_code error = Put(beast, buffer);
+  if (error == http::error::header_limit) {
+    return Fail(431);
+  }
+  if (error == http::error::body_limit) {
+    return Fail(413);
+  }
+  if (error) {
+    return Fail(400);
+  }
+  if (!beast.is_header_done()) {
+    return buffer.size() > m_limits.header_bytes ? Fail(431)
+                                                 : ReadState::kIncomplete;
+  }
+  // Any other coding would leave it open where the request ends.
+  const auto coding = beast.get().find(http::field::transfer_encoding);
+  if (coding != beast.get().end() &&
+      !EqualIgnoringCase(ToView(coding->value()), "chunked")) {
+    return Fail(400);
+  }
+  return beast.is_done() ? ReadState::kComplete : ReadState::kIncomplete;
+}
+
+HttpRequestMessage HttpRequestReader::Take() {
+  assert(m_parser && m_parser->beast.is_done());
+  auto message = m_parser->beast.release();
+  HttpRequestMessage request;
+  request.method = std::string(ToView(message.method_string()));
+  request.target = std::string(ToView(message.target()));
+  request.fields = CopyFields(message);
+  request.body = std::move(message.body());
+  m_parser.reset();
+  m_begun = false;
+  m_continue_told = false;
+  return request;
+}
+
+bool HttpRequestReader::keep_alive() const {
+  return m_parser && m_parser->beast.get().keep_alive();
+}
+
+bool HttpRequestReader::TakeExpectsContinue() {
+  if (m_continue_told || !m_parser || !m_parser->beast.is_header_done() ||
+      m_parser->beast.is_done()) {
+    return false;
+  }
+  const auto& message = m_parser->beast.get();
+  const auto expect = message.find(http::field::expect);
+  if (expect == message.end() ||
+      !EqualIgnoringCase(ToView(expect->value()), "100-continue")) {
+    return false;
+  }
+  m_continue_told = true;
+  return true;
+}
+
+bool HttpRequestReader::in_header() const {
+  return m_begun && (!m_parser || !m_parser->beast.is_header_done());
+}
+
+struct HttpResponseReader::Parser {
+  http::response_parser<http::string_body> beast;
+};
+
+HttpResponseReader::HttpResponseReader(MessageLimits limits, bool head)
+    : m_limits(limits), m_head(head) {}
+
+HttpResponseReader::~HttpResponseReader() = default;
+
+ReadState HttpResponseReader::Feed(std::string& buffer) {
+  while (!buffer.empty()) {
+    if (!m_parser) {
+      m_parser = std::make_unique<Parser>();
+      auto& beast = m_parser->beast;
+      beast.header_limit(static_cast<uint32_t>(m_limits.header_bytes));
+      beast.body_limit(m_limits.body_bytes);
+      beast.eager(true);
+      beast.skip(m_head);
+    }
+    auto& beast = m_parser->beast;
+    if (Put(beast, buffer)) {
+      return ReadState::kInvalid;
+    }
+    if (!beast.is_done()) {
+      return ReadState::kIncomplete;
+    }
+    const unsigned status = beast.get().result_int();
+    if (status == 101) {
+      return ReadState::kInvalid;
+    }
+    if (status >= 200) {
+      return ReadState::kComplete;
+    }
+    m_parser.reset();
+  }
+  return ReadState::kIncomplete;
+}
+
+ReadState HttpResponseReader::FeedEnd() {
+  if (!m_parser) {
+    return ReadState::kInvalid;
+  }
+  auto& beast = m_parser->beast;
+  if (!beast.is_header_done() || !beast.need_eof()) {
+    return ReadState::kInvalid;
+  }
+  boost::beast::error_code error;
+  beast.put_eof(error);
+  return !error && beast.is_done() ? ReadState::kComplete : ReadState::kInvalid;
+}
+
+HttpResponseMessage HttpResponseReader::Take() {
+  assert(m_parser && m_parser->beast.is_done());
+  auto message = m_parser->beast.release();
+  HttpResponseMessage response;
+  response.status = message.result_int();
+  response.fields = CopyFields(message);
+  response.body = std::move(message.body());
+  return response;
+}
+
+bool HttpResponseReader::keep_alive() const {
+  return m_parser && m_parser->beast.get().keep_alive() &&
+         !m_parser->beast.need_eof();
+}
+
+}  // namespace tanagervane
--- a/lib/edge/event_loop.cc
+++ b/lib/net/event_loop.cc
@@ -1,6 +1,6 @@
 // EventLoop on a GMainLoop.
 
-#include "tanagervane/edge/event_loop.h"
+#include "tanagervane/net/event_loop.h"
 
 #include <glib-unix.h>
 
@@ -37,15 +37,20 @@
                             DeleteTimer);
 }
 
-gboolean RunStopTask(gpointer data) {
+gboolean RunSignalTask(gpointer data) {
   (*static_cast<EventLoop::Task*>(data))();
   return G_SOURCE_CONTINUE;
 }
 
-void DeleteStopTask(gpointer data) {
+void DeleteSignalTask(gpointer data) {
   delete static_cast<EventLoop::Task*>(data);
 }
 
+void AddSignal(int signal, const EventLoop::Task& task) {
+  g_unix_signal_add_full(G_PRIORITY_DEFAULT, signal, RunSignalTask,
+                         new EventLoop::Task(task), DeleteSignalTask);
+}
+
 }  // namespace
 
 EventLoop::EventLoop() : m_loop(g_main_loop_new(nullptr, FALSE)) {}
@@ -112,11 +117,14 @@
 
 void EventLoop::OnStopSignal(const Task& task) {
   for (int signal : {SIGTERM, SIGINT}) {
-    g_unix_signal_add_full(G_PRIORITY_DEFAULT, signal, RunStopTask,
-                           new Task(task), DeleteStopTask);
+    AddSignal(signal, task);
   }
 }
 
+void EventLoop::OnReloadSignal(const Task& task) {
+  AddSignal(SIGHUP, task);
+}
+
 void EventLoop::Run() {
   g_main_loop_run(m_loop);
 }
--- /dev/null
+++ b/lib/net/socket.cc
@@ -0,0 +1,141 @@
+// Socket helpers.
+
+#include "tanagervane/net/socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <string>
+
+#include "fmt/format.h"
+#include "tanagervane/support/error.h"
+
+namespace tanagervane {
+
+namespace {
+
+/// Connections that may wait to be accepted; a full queue costs a caller
+/// seconds.
+constexpr int kListenBacklog = 1024;
+
+/// Time between keep-alive probes, in seconds, and how many may be lost.
+constexpr int kProbeSeconds = 1;
+constexpr int kLostProbes = 2;
+
+absl::Status SystemError(std::string_view what) {
+  return MakeError(ErrorCode::kNotReady,
+                   fmt::format("{}: {}", what, std::strerror(errno)));
+}
+
+absl::StatusOr<int> Bind(int type, const sockaddr_in& address) {
+  const int descriptor =
+      socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return SystemError("socket");
+  }
+  const int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  if (bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
+           sizeof(address)) != 0) {
+    const absl::Status status = SystemError("bind");
+    close(descriptor);
+    return status;
+  }
+  return descriptor;
+}
+
+}  // namespace
+
+absl::StatusOr<sockaddr_in> ParseSocketAddress(std::string_view address) {
+  const auto invalid = [&](std::string_view why) {
+    return MakeError(ErrorCode::kInvalidRequest,
+                     fmt::format("\"{}\" is not ip:port: {}", address, why));
+  };
+  const size_t colon = address.rfind(':');
+  if (colon == std::string_view::npos) {
+    return invalid("no colon");
+  }
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  const std::string ip(address.substr(0, colon));
+  if (inet_pton(AF_INET, ip.c_str(), &result.sin_addr) != 1) {
+    return invalid("no IPv4 address");
+  }
+  const std::string_view digits = address.substr(colon + 1);
+  uint16_t port = 0;
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error != std::errc() || end != digits.data() + digits.size() ||
+      port == 0) {
+    return invalid("no port");
+  }
+  result.sin_port = htons(port);
+  return result;
+}
+
+absl::StatusOr<int> ListenTcp(const sockaddr_in& address) {
+  absl::StatusOr<int> descriptor = Bind(SOCK_STREAM, address);
+  if (!descriptor.ok()) {
+    return descriptor;
+  }
+  if (listen(*descriptor, kListenBacklog) != 0) {
+    const absl::Status status = SystemError("listen");
+    close(*descriptor);
+    return status;
+  }
+  return descriptor;
+}
+
+absl::StatusOr<int> StartConnect(const sockaddr_in& address,
+                                 Millis silence_limit) {
+  const int descriptor =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return SystemError("socket");
+  }
+  SetNoDelay(descriptor);
+  const auto limit = static_cast<unsigned>(silence_limit.count());
+  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+  if (connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address)) != 0 &&
+      errno != EINPROGRESS) {
+    const absl::Status status = SystemError("connect");
+    close(descriptor);
+    return status;
+  }
+  return descriptor;
+}
+
+int TakeSocketError(int descriptor) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+  return error;
+}
+
+absl::StatusOr<int> BindUdp(const sockaddr_in& address) {
+  return Bind(SOCK_DGRAM, address);
+}
+
+void EnableKeepAlive(int descriptor) {
+  const int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  for (const int option : {TCP_KEEPIDLE, TCP_KEEPINTVL}) {
+    setsockopt(descriptor, IPPROTO_TCP, option, &kProbeSeconds,
+               sizeof(kProbeSeconds));
+  }
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kLostProbes,
+             sizeof(kLostProbes));
+}
+
+void SetNoDelay(int descriptor) {
+  const int on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+}  // namespace tanagervane
--- a/lib/routing/quarantine.cc
+++ b/lib/routing/quarantine.cc
@@ -44,7 +44,8 @@
       now - it->second.latest_loss() >= kLifetime) {
     return Verdict::kClear;
   }
-  return it->second.losses.size() > 1 ? Verdict::kRefused : Verdict::kSuspect;
+  return it->second.losses.size() >= m_refused_after ? Verdict::kRefused
+                                                     : Verdict::kSuspect;
 }
 
 void Quarantine::OnReplicaLost(const ReplicaId& replica,
--- /dev/null
+++ b/lib/serving/plan.cc
@@ -0,0 +1,91 @@
+// Compilation of a configuration.
+
+#include "tanagervane/serving/plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace tanagervane {
+
+namespace {
+
+/// Part of the objective that an attempt takes, until attempts are measured.
+constexpr double kFirstGuess = 0.15;
+
+/// Keeps a share such as 0.7 of 10 shards from being rounded up to 8.
+constexpr double kShareTolerance = 1e-9;
+
+PlannedRoute PlanRoute(const RouteSpec& spec,
+                       ReplicaSet& replicas,
+                       RouteStatsByName& stats) {
+  std::vector<Service*> services;
+  std::vector<double> weights;
+  for (const std::string& shard : spec.shards) {
+    services.push_back(&replicas.GetService(shard));
+  }
+  for (const WeightedService& target : spec.targets) {
+    services.push_back(&replicas.GetService(target.service));
+    weights.push_back(target.weight);
+  }
+  std::shared_ptr<RouteStats>& known = stats[spec.name];
+  if (!known) {
+    known = std::make_shared<RouteStats>(spec.objective * kFirstGuess);
+  }
+  PlannedRoute route{spec, std::move(services),
+                     WeightedTurn(std::move(weights)), known, 1};
+  if (spec.is_fanout()) {
+    const double needed = std::ceil(
+        spec.min_shard_share * static_cast<double>(spec.shards.size()) -
+        kShareTolerance);
+    route.needed_parts = std::max(1U, static_cast<uint32_t>(needed));
+  }
+  return route;
+}
+
+}  // namespace
+
+WeightedTurn::WeightedTurn(std::vector<double> weights)
+    : m_weights(std::move(weights)), m_credits(m_weights.size(), 0) {
+  for (const double weight : m_weights) {
+    m_total += weight;
+  }
+}
+
+size_t WeightedTurn::Next() {
+  size_t best = 0;
+  for (size_t i = 0; i < m_weights.size(); ++i) {
+    m_credits[i] += m_weights[i];
+    if (m_credits[i] > m_credits[best]) {
+      best = i;
+    }
+  }
+  if (!m_credits.empty()) {
+    m_credits[best] -= m_total;
+  }
+  return best;
+}
+
+ServingPlan::ServingPlan(const ServingConfig& config,
+                         ReplicaSet& replicas,
+                         RouteStatsByName& stats)
+    : m_version(config.version),
+      m_limits(config.limits),
+      m_table(config.routes) {
+  replicas.ApplyServices(config.services);
+  m_routes.reserve(config.routes.size());
+  RouteStatsByName kept;
+  for (const RouteSpec& spec : config.routes) {
+    m_routes.push_back(PlanRoute(spec, replicas, stats));
+    kept[spec.name] = m_routes.back().stats;
+  }
+  stats = std::move(kept);
+}
+
+PlannedRoute* ServingPlan::Find(std::string_view host,
+                                std::string_view target) {
+  const auto found = m_table.Find(host, target);
+  return found ? &m_routes[*found] : nullptr;
+}
+
+}  // namespace tanagervane
--- /dev/null
+++ b/lib/serving/retry_allowance.cc
@@ -0,0 +1,81 @@
+// A sliding window of requests and extra sends.
+
+#include "tanagervane/serving/retry_allowance.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tanagervane {
+
+namespace {
+
+/// Part of the ratio that is used. The fleet counts requests in windows that
+/// differ from this VM's.
+constexpr double kRatioUsed = 0.85;
+
+/// Part of the slack that is used. A VM that restarts begins a new count, so
+/// its share may be spent twice in one window.
+constexpr double kSlackUsed = 0.45;
+
+/// Part of the allowance that hedges may use.
+constexpr double kHedgePart = 0.75;
+
+}  // namespace
+
+void RetryAllowance::SetLimits(const RetryLimits& limits, double share) {
+  m_limits = limits;
+  m_share = std::clamp(share, 0.0, 1.0);
+}
+
+void RetryAllowance::Advance(Millis now) {
+  const Millis width = m_limits.window * (1.0 / kBuckets);
+  const auto bucket = static_cast<int64_t>(std::floor(now / width));
+  if (m_current < 0 ||
+      bucket - m_current > static_cast<int64_t>(m_buckets.size())) {
+    m_buckets.fill({});
+  } else {
+    for (int64_t i = m_current + 1; i <= bucket; ++i) {
+      m_buckets[static_cast<size_t>(i) % m_buckets.size()] = {};
+    }
+  }
+  m_current = std::max(m_current, bucket);
+}
+
+void RetryAllowance::OnRequest(Millis now) {
+  Advance(now);
+  ++m_buckets[static_cast<size_t>(m_current) % m_buckets.size()].requests;
+}
+
+uint32_t RetryAllowance::ExtrasUsed() const {
+  uint32_t extras = 0;
+  for (const Bucket& bucket : m_buckets) {
+    extras += bucket.extras;
+  }
+  return extras;
+}
+
+double RetryAllowance::Permitted() const {
+  uint32_t requests = 0;
+  for (const Bucket& bucket : m_buckets) {
+    requests += bucket.requests;
+  }
+  return m_limits.ratio * kRatioUsed * requests +
+         m_limits.slack * kSlackUsed * m_share;
+}
+
+double RetryAllowance::Remaining(Millis now) {
+  Advance(now);
+  return std::max(0.0, Permitted() - ExtrasUsed());
+}
+
+bool RetryAllowance::TryTake(ExtraSend kind, Millis now) {
+  Advance(now);
+  const double part = kind == ExtraSend::kHedge ? kHedgePart : 1.0;
+  if (ExtrasUsed() + 1 > Permitted() * part) {
+    return false;
+  }
+  ++m_buckets[static_cast<size_t>(m_current) % m_buckets.size()].extras;
+  return true;
+}
+
+}  // namespace tanagervane
--- a/lib/edge/json_object.cc
+++ b/lib/support/json_object.cc
@@ -1,6 +1,6 @@
 // Strict JSON objects.
 
-#include "tanagervane/edge/json_object.h"
+#include "tanagervane/support/json_object.h"
 
 #include <utility>
 
@@ -121,6 +121,20 @@
   return Integer(key, least, most);
 }
 
+double JsonObject::NumberOr(const std::string& key,
+                            double fallback,
+                            double least) {
+  const nlohmann::json* member = Member(key, /*required=*/false);
+  if (!member) {
+    return fallback;
+  }
+  if (!member->is_number() || member->get<double>() < least) {
+    Fail(key, fmt::format("must be a number of {} or more", least));
+    return fallback;
+  }
+  return member->get<double>();
+}
+
 bool JsonObject::BooleanOr(const std::string& key, bool fallback) {
   const nlohmann::json* member = Member(key, /*required=*/false);
   if (!member) {
--- a/lib/support/log.cc
+++ b/lib/support/log.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdio>
+#include <utility>
 
 namespace tanagervane {
 
@@ -29,8 +30,17 @@
   line += '"';
 }
 
+LogSink& Sink() {
+  static LogSink sink;
+  return sink;
+}
+
 }  // namespace
 
+void SetLogSink(LogSink sink) {
+  Sink() = std::move(sink);
+}
+
 LogEvent::LogEvent(std::string_view event) {
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   const auto millis =
@@ -40,6 +50,10 @@
 
 LogEvent::~LogEvent() {
   m_line += '\n';
+  if (const LogSink& sink = Sink()) {
+    sink(m_line);
+    return;
+  }
   // One write for each line, so that lines of several processes that share a
   // standard error stream do not mix.
   std::fwrite(m_line.data(), 1, m_line.size(), stderr);
--- a/standins/common/control.cc
+++ b/standins/common/control.cc
@@ -6,8 +6,8 @@
 #include <charconv>
 
 #include "fmt/format.h"
-#include "tanagervane/edge/json_object.h"
 #include "tanagervane/support/error.h"
+#include "tanagervane/support/json_object.h"
 
 namespace tanagervane::standins {
 
--- a/standins/common/timer_queue.h
+++ b/standins/common/timer_queue.h
@@ -7,7 +7,7 @@
 #include <map>
 #include <utility>
 
-#include "tanagervane/edge/event_loop.h"
+#include "tanagervane/net/event_loop.h"
 
 namespace tanagervane::standins {
 
--- a/standins/fake-backend/server.h
+++ b/standins/fake-backend/server.h
@@ -13,7 +13,7 @@
 #include <utility>
 
 #include "backend.grpc.pb.h"
-#include "tanagervane/edge/event_loop.h"
+#include "tanagervane/net/event_loop.h"
 
 namespace tanagervane::standins {
 
--- a/tools/tanagervane-ctl/main.cc
+++ b/tools/tanagervane-ctl/main.cc
@@ -16,8 +16,8 @@
 #include "apply.h"
 #include "fmt/format.h"
 #include "operator_client.h"
-#include "tanagervane/edge/json_object.h"
 #include "tanagervane/program/flags.h"
+#include "tanagervane/support/json_object.h"
 #include "tanagervane/support/log.h"
 
 ABSL_FLAG(std::string,
--- a/tools/tanagervane-ctl/operator_client.h
+++ b/tools/tanagervane-ctl/operator_client.h
@@ -11,8 +11,8 @@
 
 #include "absl/status/statusor.h"
 #include "nlohmann/json.hpp"
-#include "tanagervane/edge/event_loop.h"
 #include "tanagervane/edge/http.h"
+#include "tanagervane/net/event_loop.h"
 #include "tanagervane/support/millis.h"
 
 namespace tanagervane {
--- a/tools/tanagervane-entry/main.cc
+++ b/tools/tanagervane-entry/main.cc
@@ -6,9 +6,10 @@
 #include "absl/flags/flag.h"
 #include "absl/synchronization/mutex.h"
 #include "tanagervane/edge/entry_server.h"
-#include "tanagervane/edge/event_loop.h"
 #include "tanagervane/edge/settings.h"
+#include "tanagervane/net/event_loop.h"
 #include "tanagervane/program/flags.h"
+#include "tanagervane/support/file.h"
 #include "tanagervane/support/log.h"
 
 ABSL_FLAG(std::string, settings, "", "Settings file (JSON with comments).");
--- a/tools/tanagervane-load/address_book.h
+++ b/tools/tanagervane-load/address_book.h
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "nlohmann/json.hpp"
-#include "tanagervane/edge/event_loop.h"
 #include "tanagervane/edge/http.h"
+#include "tanagervane/net/event_loop.h"
 #include "tanagervane/support/millis.h"
 
 namespace tanagervane {
--- a/tools/tanagervane-load/load_runner.cc
+++ b/tools/tanagervane-load/load_runner.cc
@@ -8,8 +8,8 @@
 
 #include "fmt/format.h"
 #include "nlohmann/json.hpp"
-#include "tanagervane/edge/json_object.h"
 #include "tanagervane/support/error.h"
+#include "tanagervane/support/json_object.h"
 #include "tanagervane/support/log.h"
 
 namespace tanagervane {
--- a/tools/tanagervane-load/load_runner.h
+++ b/tools/tanagervane-load/load_runner.h
@@ -18,8 +18,8 @@
 #include "precise_timer.h"
 #include "report.h"
 #include "send_queue.h"
-#include "tanagervane/edge/event_loop.h"
 #include "tanagervane/edge/http.h"
+#include "tanagervane/net/event_loop.h"
 #include "tanagervane/support/random.h"
 
 namespace tanagervane {
--- /dev/null
+++ b/tools/tanagervane-node/main.cc
@@ -0,0 +1,110 @@
+// A VM of the tier on the users' platform.
+
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <string>
+
+#include "absl/flags/flag.h"
+#include "tanagervane/net/event_loop.h"
+#include "tanagervane/net/poller.h"
+#include "tanagervane/program/flags.h"
+#include "tanagervane/support/bounded_log.h"
+#include "tanagervane/support/error.h"
+#include "tanagervane/support/log.h"
+#include "tools/tanagervane-node/node.h"
+#include "tools/tanagervane-node/settings.h"
+
+ABSL_FLAG(std::string,
+          settings,
+          "",
+          "Settings file (JSON with comments); by default the file that the "
+          "environment variable TANAGERVANE_SETTINGS names.");
+ABSL_FLAG(bool,
+          check_settings,
+          false,
+          "Check the settings file and exit: 0 when it is valid.");
+
+namespace tanagervane {
+namespace {
+
+constexpr Millis kLogFlushPeriod{100};
+
+int ReportError(std::string_view event, const absl::Status& status) {
+  const auto message = status.message();
+  LogEvent(event)
+      .Field("path", GetErrorPath(status))
+      .Field("reason", std::string_view(message.data(), message.size()));
+  return kExitRefused;
+}
+
+std::string SettingsPath() {
+  const std::string flag = absl::GetFlag(FLAGS_settings);
+  if (!flag.empty()) {
+    return flag;
+  }
+  const char* variable = std::getenv("TANAGERVANE_SETTINGS");
+  if (variable == nullptr) {
+    FailUsage("--settings: required, as TANAGERVANE_SETTINGS is not set");
+  }
+  return variable;
+}
+
+void Reload(Node& node, const std::string& path) {
+  const auto settings = LoadNodeSettings(path);
+  if (!settings.ok()) {
+    ReportError("settings_reload_refused", settings.status());
+    return;
+  }
+  node.Reload(*settings);
+}
+
+int Run(const NodeSettings& settings, const std::string& path) {
+  EventLoop loop;
+  BoundedLog log(STDOUT_FILENO, {}, &Poller::Now);
+  SetLogSink([&log](std::string_view line) { log.Write(line); });
+  Node node(loop, settings, static_cast<uint64_t>(EventLoop::WallMillis()));
+  absl::Status status = node.Start();
+  if (status.ok()) {
+    loop.OnStopSignal([&node] { node.Stop(); });
+    loop.OnReloadSignal([&] { Reload(node, path); });
+    loop.Every(kLogFlushPeriod, [&log] { log.Flush(); });
+    LogEvent("started")
+        .Field("id", settings.id)
+        .Field("version", TANAGERVANE_VERSION)
+        .Field("callers", settings.caller_address)
+        .Field("store", settings.store_address);
+    loop.Run();
+    LogEvent("stopped").Field("id", settings.id);
+  } else {
+    ReportError("start_failed", status);
+  }
+  log.Flush();
+  SetLogSink(nullptr);
+  return status.ok() ? kExitDone : kExitRefused;
+}
+
+int Main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::string path = SettingsPath();
+  const auto settings = LoadNodeSettings(path);
+  if (!settings.ok()) {
+    return ReportError("settings_invalid", settings.status());
+  }
+  return absl::GetFlag(FLAGS_check_settings) ? kExitDone : Run(*settings, path);
+}
+
+}  // namespace
+}  // namespace tanagervane
+
+int main(int argc, char** argv) {
+  tanagervane::ParseOnlyFlags(
+      argc, argv,
+      {.name = "tanagervane-node",
+       .version = TANAGERVANE_VERSION,
+       .usage = "A VM of the tier on the users' platform: takes callers' "
+                "requests and tells callers where to connect.\n"
+                "tanagervane-node [--settings=FILE] [--check_settings]"});
+  return tanagervane::Main();
+}
--- /dev/null
+++ b/tools/tanagervane-node/node.h
@@ -0,0 +1,118 @@
+// One VM of the tier on the users' platform: wires the serving core to the
+// platform's wire, the store and the other VMs.
+
+#ifndef TANAGERVANE_TOOLS_TANAGERVANE_NODE_NODE_H_
+#define TANAGERVANE_TOOLS_TANAGERVANE_NODE_NODE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "platform/store_client.h"
+#include "tanagervane/fleet/replica_connections.h"
+#include "tanagervane/fleet/udp_gossip.h"
+#include "tanagervane/net/event_loop.h"
+#include "tanagervane/net/http_listener.h"
+#include "tanagervane/net/poller.h"
+#include "tanagervane/routing/quarantine.h"
+#include "tanagervane/serving/dispatcher.h"
+#include "tanagervane/serving/replica_set.h"
+#include "tanagervane/state/entry_directory.h"
+#include "tanagervane/state/kind_follower.h"
+#include "tanagervane/state/peer_table.h"
+#include "tools/tanagervane-node/request_log.h"
+#include "tools/tanagervane-node/settings.h"
+
+namespace tanagervane {
+
+class Node {
+ public:
+  Node(EventLoop& loop, NodeSettings settings, uint64_t incarnation);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  absl::Status Start();
+
+  /// Leaves the fleet, finishes what runs and quits the loop.
+  void Stop();
+
+  /// Takes changed settings. Listeners keep their addresses.
+  void Reload(const NodeSettings& settings);
+
+ private:
+  // Set-up.
+  HttpListenerHooks CallerHooks();
+  HttpListenerHooks ReadinessHooks();
+  HttpListenerHooks DirectoryHooks();
+  HttpListenerHooks MetricsHooks();
+  DispatcherHooks MakeDispatcherHooks();
+  UdpGossipHooks GossipHooks();
+  KindFollowerHooks StoreHooks(std::string_view kind);
+  KindFollowerHooks ConfigHooks();
+  KindFollowerHooks ReplicaHooks();
+
+  // Callers.
+  void OnCallerRequest(ExchangeId exchange, HttpRequestMessage message);
+  void OnAnswer(const FinalAnswer& answer);
+  void AnswerAddresses(ExchangeId exchange);
+
+  // Replicas.
+  void OnExchangeDone(uint64_t exchange, ExchangeResult result);
+  void OnProbeDone(uint64_t exchange, const ExchangeResult& result);
+
+  // The store.
+  void ApplyConfigObject(const StoreObject& object);
+  void ApplyReplicaObject(const StoreObject& object);
+  void ApplyReplicaList(const std::vector<StoreObject>& objects);
+  void OnStoreReachable(std::string_view kind,
+                        bool reachable,
+                        StoreResult result);
+
+  // The fleet.
+  void RegisterVm();
+  void ListVms();
+  void OnMembershipChange();
+  void UpdateState();
+  bool IsReady() const;
+
+  // Time.
+  void Sweep();
+  void UpdateAlarm();
+  void StopAccepting();
+  void FinishStop();
+
+  EventLoop& m_loop;
+  NodeSettings m_settings;
+  Poller m_poller;
+  Quarantine m_quarantine;
+  RequestLog m_request_log;
+  ReplicaSet m_replicas;
+  Dispatcher m_dispatcher;
+  ReplicaConnections m_connections;
+  HttpListener m_callers;
+  HttpListener m_readiness;
+  HttpListener m_directory_listener;
+  HttpListener m_metrics_listener;
+  PeerTable m_peers;
+  EntryDirectory m_directory;
+  UdpGossip m_gossip;
+  std::unique_ptr<StoreClient> m_store;
+  std::unique_ptr<KindFollower> m_config_follower;
+  std::unique_ptr<KindFollower> m_replica_follower;
+  /// The callers' ids of open requests, to be echoed.
+  std::unordered_map<RequestKey, std::string> m_request_ids;
+  std::unordered_map<uint64_t, std::shared_ptr<ServingReplica>> m_probes;
+  uint64_t m_next_probe = 0;
+  size_t m_registered_vms = 0;
+  Millis m_started_at;
+  bool m_stopping = false;
+  Millis m_stop_deadline;
+};
+
+}  // namespace tanagervane
+
+#endif  // TANAGERVANE_TOOLS_TANAGERVANE_NODE_NODE_H_
--- /dev/null
+++ b/tools/tanagervane-node/request_log.cc
@@ -0,0 +1,111 @@
+// One line for a request, and one for each of its decisions.
+
+#include "tools/tanagervane-node/request_log.h"
+
+#include "tanagervane/support/log.h"
+
+namespace tanagervane {
+
+namespace {
+
+/// One in this many requests that went well is logged.
+constexpr uint64_t kCalmSample = 500;
+
+/// Decisions of one request that are logged; a fan-out has many.
+constexpr size_t kMaxDecisions = 24;
+
+std::string_view OutcomeOf(const RequestReport& report) {
+  if (report.caller_gone) {
+    return "caller_gone";
+  }
+  if (report.kind == AnswerKind::kReply &&
+      (report.replica_status < 200 || report.replica_status > 299)) {
+    return "replica_error";
+  }
+  const bool answered =
+      report.kind == AnswerKind::kReply || report.kind == AnswerKind::kMerged;
+  if (!answered) {
+    return ToString(report.kind);
+  }
+  if (report.elapsed > report.objective) {
+    return "late";
+  }
+  return report.parts_done < report.parts ? "partial" : "on_time";
+}
+
+bool IsTelling(TraceEvent::What what) {
+  return what != TraceEvent::What::kSent && what != TraceEvent::What::kAnswered;
+}
+
+}  // namespace
+
+RequestLog::RequestLog()
+    : m_latency(m_metrics,
+                "tanagervane_request_seconds",
+                "Time from a request to its answer, by route and outcome.") {}
+
+Counter& RequestLog::OutcomeCounter(std::string_view route,
+                                    std::string_view outcome) {
+  const std::pair<std::string, std::string> key{route, outcome};
+  Counter*& counter = m_outcomes[key];
+  if (counter == nullptr) {
+    counter = &m_metrics.GetCounter(
+        "tanagervane_requests_total", "Requests by route and outcome.",
+        {{"route", key.first}, {"outcome", key.second}});
+  }
+  return *counter;
+}
+
+void RequestLog::OnFinished(const RequestReport& report) {
+  const std::string_view outcome = OutcomeOf(report);
+  OutcomeCounter(report.route, outcome).Increment();
+  m_latency.Observe(report.route, outcome, report.elapsed);
+  const bool calm = outcome == "on_time";
+  if (calm && m_calm++ % kCalmSample != 0) {
+    return;
+  }
+  LogRequest(report, outcome);
+}
+
+void RequestLog::LogRequest(const RequestReport& report,
+                            std::string_view outcome) {
+  LogEvent("request")
+      .Field("request", report.request->id)
+      .Field("route", report.route)
+      .Field("config_version", report.config_version)
+      .Field("outcome", outcome)
+      .Field("reason", ToString(report.reason))
+      .Field("elapsed_ms", report.elapsed.count())
+      .Field("objective_ms", report.objective.count())
+      .Field("time_left_ms", report.time_left_on_arrival.count())
+      .Field("parts", report.parts)
+      .Field("parts_done", report.parts_done)
+      .Field("extra_sends", report.extra_sends)
+      .Field("replica_status", report.replica_status);
+  if (report.trace == nullptr) {
+    return;
+  }
+  size_t logged = 0;
+  for (const TraceEvent& event : *report.trace) {
+    if (report.parts > 1 && !IsTelling(event.what)) {
+      continue;
+    }
+    if (++logged > kMaxDecisions) {
+      return;
+    }
+    LogEvent line("decision");
+    line.Field("request", report.request->id)
+        .Field("what", ToString(event.what))
+        .Field("part", event.part)
+        .Field("after_ms", event.after.count());
+    if (event.replica) {
+      line.Field("replica", event.replica->entry.id)
+          .Field("service", event.replica->entry.service)
+          .Field("in_flight", event.replica->attempts.size())
+          .Field("slowness", event.replica->slowness)
+          .Field("error_share", event.replica->error_share);
+    }
+  }
+}
+
+}  // namespace tanagervane
--- /dev/null
+++ b/tools/tanagervane-node/settings.cc
@@ -0,0 +1,100 @@
+// Parsing of the node's settings.
+
+#include "tools/tanagervane-node/settings.h"
+
+#include <array>
+
+#include "fmt/format.h"
+#include "tanagervane/net/socket.h"
+#include "tanagervane/support/error.h"
+#include "tanagervane/support/file.h"
+#include "tanagervane/support/json_object.h"
+
+namespace tanagervane {
+
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+constexpr int64_t kLargestPort = 65535;
+
+/// Ports of the range between VMs that this program uses, by offset.
+constexpr int64_t kGossipOffset = 0;
+constexpr int64_t kMetricsOffset = 1;
+
+Millis ReadSeconds(JsonObject& json, const std::string& key, double fallback) {
+  return Millis(json.NumberOr(key, fallback, 0) * kMillisPerSecond);
+}
+
+void ReadListeners(JsonObject& json, NodeSettings& settings) {
+  JsonObject listeners = json.Object("listeners");
+  settings.caller_address = listeners.Text("callers");
+  settings.readiness_address = listeners.Text("readiness");
+  settings.directory_address = listeners.Text("directory");
+  const std::string ip = listeners.Text("ip");
+  const int64_t first = listeners.Integer("first_vm_port", 1, kLargestPort - 1);
+  settings.gossip_address = fmt::format("{}:{}", ip, first + kGossipOffset);
+  settings.metrics_address = fmt::format("{}:{}", ip, first + kMetricsOffset);
+  json.Adopt(listeners.Finish());
+}
+
+void ReadBounds(JsonObject& json, NodeSettings& settings) {
+  JsonObject bounds = json.Object("bounds");
+  settings.stop_grace = ReadSeconds(bounds, "stop_grace_s", 6);
+  settings.retries.ratio = bounds.NumberOr("retry_ratio", 0.2, 0);
+  settings.retries.slack = bounds.NumberOr("retry_slack", 0, 0);
+  settings.retries.window = ReadSeconds(bounds, "retry_window_s", 10);
+  json.Adopt(bounds.Finish());
+}
+
+void ReadPolicy(JsonObject& json, NodeSettings& settings) {
+  JsonObject policy = json.Object("policy");
+  settings.policy.hedging = policy.BooleanOr("hedging", true);
+  settings.policy.reported_load = policy.BooleanOr("reported_load", true);
+  settings.policy.slowness = policy.BooleanOr("slowness", true);
+  settings.policy.admission = policy.BooleanOr("admission", true);
+  settings.policy.local_first = policy.BooleanOr("local_first", true);
+  settings.address_lifetime = Millis(policy.NumberOr(
+      "address_lifetime_ms", settings.address_lifetime.count(), 1));
+  settings.answer_margin = Millis(
+      policy.NumberOr("answer_margin_ms", settings.answer_margin.count(), 0));
+  json.Adopt(policy.Finish());
+}
+
+void CheckAddresses(JsonObject& json, const NodeSettings& settings) {
+  const std::array<std::string_view, 5> addresses = {
+      settings.caller_address, settings.readiness_address,
+      settings.directory_address, settings.gossip_address,
+      settings.store_address};
+  for (const std::string_view address : addresses) {
+    if (!address.empty()) {
+      json.Adopt(ParseSocketAddress(address).status());
+    }
+  }
+}
+
+}  // namespace
+
+absl::StatusOr<NodeSettings> ParseNodeSettings(std::string_view text) {
+  JsonObject json(text, /*allow_comments=*/true);
+  NodeSettings settings;
+  settings.id = json.Text("id");
+  settings.data_centre = json.Text("data_centre");
+  settings.store_address = json.Text("store_address");
+  settings.max_descriptors =
+      static_cast<size_t>(json.Integer("max_descriptors", 64));
+  ReadListeners(json, settings);
+  ReadBounds(json, settings);
+  ReadPolicy(json, settings);
+  CheckAddresses(json, settings);
+  if (const absl::Status status = json.Finish(); !status.ok()) {
+    return status;
+  }
+  return settings;
+}
+
+absl::StatusOr<NodeSettings> LoadNodeSettings(const std::string& path) {
+  const absl::StatusOr<std::string> text = ReadFile(path);
+  return text.ok() ? ParseNodeSettings(*text) : text.status();
+}
+
+}  // namespace tanagervane
--- /dev/null
+++ b/tools/tanagervane-node/settings.h
@@ -0,0 +1,51 @@
+// Settings of one VM of the tier on the users' platform.
+
+#ifndef TANAGERVANE_TOOLS_TANAGERVANE_NODE_SETTINGS_H_
+#define TANAGERVANE_TOOLS_TANAGERVANE_NODE_SETTINGS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "tanagervane/serving/replica_chooser.h"
+#include "tanagervane/serving/retry_allowance.h"
+#include "tanagervane/support/millis.h"
+
+namespace tanagervane {
+
+struct NodeSettings {
+  std::string id;
+  std::string data_centre;
+  /// Listeners, each "ip:port".
+  std::string caller_address;
+  std::string readiness_address;
+  std::string directory_address;
+  std::string gossip_address;
+  std::string metrics_address;
+  /// The platform's store, "ip:port".
+  std::string store_address;
+  /// Descriptors that the process may have.
+  size_t max_descriptors = 1024;
+  /// Time between the stop signal and the end of the process.
+  Millis stop_grace{6000};
+  /// How long callers may use an address that the directory gave.
+  Millis address_lifetime{1000};
+  /// Kept free before the objective for the way back to the caller.
+  Millis answer_margin{15};
+  RetryLimits retries;
+  ServingPolicy policy;
+};
+
+/// Parses JSON with comments. Fails with kInvalidRequest and the path of the
+/// first offending value.
+absl::StatusOr<NodeSettings> ParseNodeSettings(std::string_view text);
+
+/// Reads and parses a settings file.
+absl::StatusOr<NodeSettings> LoadNodeSettings(const std::string& path);
+
+}  // namespace tanagervane
+
+#endif  // TANAGERVANE_TOOLS_TANAGERVANE_NODE_SETTINGS_H_
--- a/unittests/edge/codec_test.cc
+++ b/unittests/edge/codec_test.cc
@@ -9,9 +9,9 @@
 
 #include "nlohmann/json.hpp"
 #include "tanagervane/edge/caller_codec.h"
-#include "tanagervane/edge/json_object.h"
 #include "tanagervane/edge/settings.h"
 #include "tanagervane/support/error.h"
+#include "tanagervane/support/json_object.h"
 
 namespace tanagervane {
 namespace {
