Judge earlier tries by the median patience; test the serving core

The new test of the latency window found a second fault: its median was read after the array had been reordered, so it lay too high.

Change: what a caller has spent is judged by the median of what callers of the route say that they wait. Requests are refused when the wait for a slot exceeds the objective, no longer at six tenths of it.

--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -163,6 +163,9 @@
   };
 
   // Admission.
+  /// What is left of the objective when the caller's earlier tries count.
+  static Millis ObjectiveLeft(const PlannedRoute& route,
+                              const CallerRequest& caller);
   std::optional<AnswerReason> Admit(const Request& request,
                                     Millis now,
                                     Millis& retry_after) const;
--- a/include/tanagervane/serving/plan.h
+++ b/include/tanagervane/serving/plan.h
@@ -19,12 +19,14 @@
 
 /// What is learnt of a route; outlives versions of the configuration.
 struct RouteStats {
-  explicit RouteStats(Millis guess) : attempts(guess) {}
+  RouteStats(Millis attempt, Millis patience_guess)
+      : attempts(attempt), patience(patience_guess) {}
 
   /// Latency of single attempts.
   LatencyWindow attempts;
-  /// The longest time that a caller was ready to wait: that of a first try.
-  Millis longest_time_left;
+  /// How long callers wait, by their own word. Most requests are first tries,
+  /// so a request with less than the median has been tried before.
+  LatencyWindow patience;
 };
 
 using RouteStatsByName =
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -24,8 +24,8 @@
 
 /// The part of the objective that a request may spend waiting for a slot. The
 /// most urgent kinds may wait longer, so that others are refused first.
-constexpr double kUrgentWaitPart = 0.6;
-constexpr double kPatientWaitPart = 0.45;
+constexpr double kUrgentWaitPart = 1.0;
+constexpr double kPatientWaitPart = 0.8;
 constexpr uint32_t kUrgentPriority = 1;
 
 /// A refused hedge is tried again after this part of the hedge delay.
@@ -66,6 +66,20 @@
   return true;
 }
 
+Millis Dispatcher::ObjectiveLeft(const PlannedRoute& route,
+                                 const CallerRequest& caller) {
+  const Millis objective = route.spec.objective;
+  if (!caller.time_left) {
+    return objective;
+  }
+  // A caller that tries again has spent a part of its time before.
+  LatencyWindow& patience = route.stats->patience;
+  const Millis spent =
+      std::max(patience.median() - *caller.time_left, Millis(0));
+  patience.Record(*caller.time_left);
+  return std::max(objective - spent, Millis(0));
+}
+
 void Dispatcher::Submit(RequestKey key,
                         std::shared_ptr<const CallerRequest> caller,
                         Millis now) {
@@ -99,11 +113,7 @@
   request.arrived = now;
   request.deadline =
       now + std::max(time_left - kDeadlineMargin, kSmallestTimeLeft);
-  // A caller that tries again has spent a part of its time before.
-  Millis& longest = route->stats->longest_time_left;
-  longest = std::max(longest, time_left);
-  request.objective_at =
-      now + std::max(spec.objective - (longest - time_left), Millis(0));
+  request.objective_at = now + ObjectiveLeft(*route, *caller);
   request.answer_by = request.objective_at - m_options.answer_margin;
   if (m_quarantine.Check(request.fingerprint, now) ==
       Quarantine::Verdict::kRefused) {
--- a/lib/serving/latency_window.cc
+++ b/lib/serving/latency_window.cc
@@ -25,8 +25,9 @@
   const auto middle = begin + static_cast<ptrdiff_t>(size / 2);
   const auto high = begin + static_cast<ptrdiff_t>(size * 9 / 10);
   std::nth_element(begin, middle, end);
-  std::nth_element(middle, high, end);
   m_median = Millis(*middle);
+  // Reorders what lies behind the median.
+  std::nth_element(middle, high, end);
   m_high = Millis(*high);
 }
 
