Count replicas lost at one moment as one piece of evidence; test the adapters

Cause: a request in flight on two replicas that died together for another cause was refused as one that crashes replicas (KNOWN-RED, integration_test_lagging_list).

Change: Quarantine takes when each request was sent. A loss adds to the evidence only if the request was sent after the losses held against it.

--- a/include/tanagervane/query/attempt_table.h
+++ b/include/tanagervane/query/attempt_table.h
@@ -40,8 +40,8 @@
   /// How many attempts of a fingerprint are in flight.
   uint32_t InFlight(Fingerprint fingerprint) const;
 
-  /// The fingerprints in flight at a replica, each once.
-  std::vector<Fingerprint> FingerprintsAt(const Replica& replica) const;
+  /// The requests in flight at a replica, each once, with its latest sending.
+  std::vector<Quarantine::InFlight> InFlightAt(const Replica& replica) const;
 
  private:
   AttemptId m_last_id = 0;
--- a/include/tanagervane/routing/quarantine.h
+++ b/include/tanagervane/routing/quarantine.h
@@ -47,9 +47,19 @@
 
   Verdict Check(Fingerprint fingerprint, Millis now) const;
 
-  /// A replica's connection was lost while it ran these requests.
+  /// A request that ran on a replica whose connection was lost.
+  struct InFlight {
+    Fingerprint fingerprint = 0;
+    Millis sent;
+  };
+
+  /// A replica's connection was lost while it ran these requests. A request
+  /// that had been sent before the latest loss held against it is not blamed
+  /// again: replicas that die together, for another cause, are one piece of
+  /// evidence. Only a request that was sent after a loss and loses its replica
+  /// as well adds to it.
   void OnReplicaLost(const ReplicaId& replica,
-                     std::span<const Fingerprint> in_flight,
+                     std::span<const InFlight> in_flight,
                      Millis now);
 
   /// The request succeeded somewhere: it is not to blame.
--- a/include/tanagervane/support/bounded_log.h
+++ b/include/tanagervane/support/bounded_log.h
@@ -38,6 +38,7 @@
 
  private:
   bool TakeToken();
+  void WritePending();
 
   int m_descriptor;
   BoundedLogOptions m_options;
--- a/lib/query/attempt_table.cc
+++ b/lib/query/attempt_table.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <map>
 #include <utility>
 
 namespace tanagervane {
@@ -37,18 +38,20 @@
   return it == m_in_flight.end() ? 0 : it->second;
 }
 
-std::vector<Fingerprint> AttemptTable::FingerprintsAt(
+std::vector<Quarantine::InFlight> AttemptTable::InFlightAt(
     const Replica& replica) const {
-  std::vector<Fingerprint> fingerprints;
+  std::map<Fingerprint, Millis> latest;
   for (const auto& [id, sent_at] : replica.in_flight) {
     if (const OpenAttempt* attempt = Find(id)) {
-      fingerprints.push_back(attempt->fingerprint);
+      Millis& sent = latest[attempt->fingerprint];
+      sent = std::max(sent, sent_at);
     }
   }
-  std::sort(fingerprints.begin(), fingerprints.end());
-  fingerprints.erase(std::unique(fingerprints.begin(), fingerprints.end()),
-                     fingerprints.end());
-  return fingerprints;
+  std::vector<Quarantine::InFlight> requests;
+  for (const auto& [fingerprint, sent] : latest) {
+    requests.push_back({fingerprint, sent});
+  }
+  return requests;
 }
 
 }  // namespace tanagervane
--- a/lib/query/query_engine.cc
+++ b/lib/query/query_engine.cc
@@ -520,8 +520,7 @@
   if (replica == nullptr || replica->leaving) {
     return;
   }
-  const std::vector<Fingerprint> lost = m_attempts.FingerprintsAt(*replica);
-  m_quarantine.OnReplicaLost(id, lost, now);
+  m_quarantine.OnReplicaLost(id, m_attempts.InFlightAt(*replica), now);
   m_lost[id] = replica->status.incarnation;
 }
 
--- a/lib/routing/quarantine.cc
+++ b/lib/routing/quarantine.cc
@@ -49,14 +49,19 @@
 }
 
 void Quarantine::OnReplicaLost(const ReplicaId& replica,
-                               std::span<const Fingerprint> in_flight,
+                               std::span<const InFlight> in_flight,
                                Millis now) {
   if (!m_enabled) {
     return;
   }
   Expire(now);
-  for (Fingerprint fingerprint : in_flight) {
-    m_suspects[fingerprint].losses[replica] = now;
+  for (const InFlight& request : in_flight) {
+    auto& losses = m_suspects[request.fingerprint].losses;
+    const bool independent = std::ranges::all_of(
+        losses, [&](const auto& loss) { return loss.second <= request.sent; });
+    if (independent) {
+      losses[replica] = now;
+    }
   }
 }
 
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -169,7 +169,8 @@
     MarkUnresponsive(replica, "connect_failed", now);
   } else if (kind == FailureKind::kConnectionLost) {
     replica.broke = true;
-    m_quarantine.OnReplicaLost(replica.key, {{attempt->fingerprint}}, now);
+    const Quarantine::InFlight lost{attempt->fingerprint, attempt->sent};
+    m_quarantine.OnReplicaLost(replica.key, {&lost, 1}, now);
   }
   Request* request = FindOpen(*attempt, id);
   if (request == nullptr) {
--- a/lib/serving/plan.cc
+++ b/lib/serving/plan.cc
@@ -30,7 +30,8 @@
   }
   std::shared_ptr<RouteStats>& known = stats[spec.name];
   if (!known) {
-    known = std::make_shared<RouteStats>(spec.objective * kFirstGuess, spec.timeout);
+    known = std::make_shared<RouteStats>(spec.objective * kFirstGuess,
+                                         spec.timeout);
   }
   PlannedRoute route{spec, std::move(services),
                      WeightedTurn(std::move(weights)), known, 1};
--- a/lib/state/kind_follower.cc
+++ b/lib/state/kind_follower.cc
@@ -74,7 +74,7 @@
   for (const StoreObject& object : m_pages) {
     m_known[object.name] = object.revision;
     m_last_change = std::max(m_last_change, object.revision);
-  m_covered = std::max(m_covered, object.revision);
+    m_covered = std::max(m_covered, object.revision);
   }
   m_has_snapshot = true;
   m_covered = std::max(m_covered, m_revision);
@@ -84,13 +84,12 @@
 }
 
 void KindFollower::Watch() {
-  m_hooks.watch(m_revision,
-                [this, generation = m_generation](StoreResult result,
-                                                  const StoreEvents& events) {
-                  if (generation == m_generation) {
-                    OnEvents(result, events);
-                  }
-                });
+  m_hooks.watch(m_revision, [this, generation = m_generation](
+                                StoreResult result, const StoreEvents& events) {
+    if (generation == m_generation) {
+      OnEvents(result, events);
+    }
+  });
 }
 
 void KindFollower::OnEvents(StoreResult result, const StoreEvents& events) {
--- a/lib/support/bounded_log.cc
+++ b/lib/support/bounded_log.cc
@@ -45,11 +45,17 @@
 }
 
 void BoundedLog::Flush() {
-  if (m_dropped > m_told && m_pending.size() < m_options.pending_bytes) {
-    m_pending += fmt::format("event=log_lines_dropped count={} total={}\n",
-                             m_dropped - m_told, m_dropped);
-    m_told = m_dropped;
+  WritePending();
+  if (m_dropped == m_told || !m_pending.empty()) {
+    return;
   }
+  m_pending = fmt::format("event=log_lines_dropped count={} total={}\n",
+                          m_dropped - m_told, m_dropped);
+  m_told = m_dropped;
+  WritePending();
+}
+
+void BoundedLog::WritePending() {
   while (!m_pending.empty()) {
     pollfd ready{m_descriptor, POLLOUT, 0};
     if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
--- /dev/null
+++ b/unittests/http/reader_test.cc
@@ -0,0 +1,117 @@
+// Tests of message parsing.
+
+#include "tanagervane/http/reader.h"
+
+#include <string>
+#include <vector>
+
+#include "gtest/gtest.h"
+#include "rapidcheck/gtest.h"
+
+namespace tanagervane {
+namespace {
+
+constexpr MessageLimits kLimits = {.header_bytes = 512, .body_bytes = 64};
+
+// Guards against requests that depend on how their bytes are cut.
+RC_GTEST_PROP(RequestReaderProperty, AnyCutGivesTheSameRequests, ()) {
+  const std::string bytes =
+      "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+      "GET /next HTTP/1.1\r\nHost: h\r\nX-Y: z\r\n\r\n"
+      "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nhi\r\n0\r\n\r\n";
+  HttpRequestReader reader(kLimits);
+  std::vector<HttpRequestMessage> requests;
+  std::string buffer;
+  size_t at = 0;
+  while (at < bytes.size()) {
+    const size_t step = *rc::gen::inRange<size_t>(1, 40);
+    buffer += bytes.substr(at, step);
+    at += step;
+    while (reader.Feed(buffer) == ReadState::kComplete) {
+      requests.push_back(reader.Take());
+    }
+  }
+  RC_ASSERT(requests.size() == 3u);
+  RC_ASSERT(requests[0].target == "/a/b?c=d");
+  RC_ASSERT(requests[0].body == "abc");
+  RC_ASSERT(*requests[1].fields.Find("x-y") == "z");
+  RC_ASSERT(requests[2].body == "hi");
+}
+
+unsigned Rejection(const std::string& text) {
+  HttpRequestReader reader(kLimits);
+  std::string buffer = text;
+  return reader.Feed(buffer) == ReadState::kInvalid ? reader.error_status() : 0;
+}
+
+// Guards against a request hidden in another one's body.
+TEST(RequestReaderTest, AmbiguousFramingIsRejected) {
+  EXPECT_EQ(Rejection("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n"),
+            400u);
+  EXPECT_EQ(Rejection("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                      "Content-Length: 4\r\n\r\n"),
+            400u);
+  EXPECT_EQ(Rejection("POST / HTTP/1.1\r\nHost: h\r\n"
+                      "Transfer-Encoding: gzip\r\n\r\n"),
+            400u);
+  EXPECT_EQ(Rejection("nonsense\r\n\r\n"), 400u);
+}
+
+// Guards against callers that take memory without bound.
+TEST(RequestReaderTest, LimitsHold) {
+  EXPECT_EQ(Rejection("GET / HTTP/1.1\r\nHost: h\r\nX: " +
+                      std::string(600, 'x') + "\r\n\r\n"),
+            431u);
+  EXPECT_EQ(Rejection("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n"
+                      "\r\n"),
+            413u);
+}
+
+ReadState FeedResponse(HttpResponseReader& reader, std::string& buffer) {
+  return reader.Feed(buffer);
+}
+
+// Guards against a response that was cut and looks whole.
+TEST(ResponseReaderTest, CutResponsesAreIncomplete) {
+  HttpResponseReader reader(kLimits, false);
+  std::string buffer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc";
+  EXPECT_EQ(FeedResponse(reader, buffer), ReadState::kIncomplete);
+  EXPECT_EQ(reader.FeedEnd(), ReadState::kInvalid);
+}
+
+TEST(ResponseReaderTest, ResponseWithoutLengthEndsWithItsConnection) {
+  HttpResponseReader reader(kLimits, false);
+  std::string buffer = "HTTP/1.1 200 OK\r\n\r\nabc";
+  EXPECT_EQ(FeedResponse(reader, buffer), ReadState::kIncomplete);
+  EXPECT_EQ(reader.FeedEnd(), ReadState::kComplete);
+  EXPECT_FALSE(reader.keep_alive());
+  EXPECT_EQ(reader.Take().body, "abc");
+}
+
+TEST(ResponseReaderTest, InterimResponsesAreSkipped) {
+  HttpResponseReader reader(kLimits, false);
+  std::string buffer =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+      "\r\nokHTTP/1.1";
+  EXPECT_EQ(FeedResponse(reader, buffer), ReadState::kComplete);
+  EXPECT_EQ(reader.Take().body, "ok");
+  EXPECT_EQ(buffer, "HTTP/1.1");
+}
+
+// Guards against a HEAD response that is waited for or read as a body.
+TEST(ResponseReaderTest, HeadResponsesHaveNoBody) {
+  HttpResponseReader reader(kLimits, true);
+  std::string buffer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n";
+  EXPECT_EQ(FeedResponse(reader, buffer), ReadState::kComplete);
+}
+
+TEST(MessageTest, FieldsOfOneConnectionAreKnown) {
+  EXPECT_TRUE(IsHopByHop("transfer-encoding", ""));
+  EXPECT_TRUE(IsHopByHop("X-Mine", "close, x-mine"));
+  EXPECT_FALSE(IsHopByHop("X-Other", "close, x-mine"));
+}
+
+}  // namespace
+}  // namespace tanagervane
--- /dev/null
+++ b/unittests/platform/codec_test.cc
@@ -0,0 +1,262 @@
+// Tests of the translation to the users' platform.
+
+#include <string>
+
+#include "gtest/gtest.h"
+#include "nlohmann/json.hpp"
+#include "platform/caller_codec.h"
+#include "platform/object_codec.h"
+#include "platform/replica_codec.h"
+#include "rapidcheck/gtest.h"
+#include "tanagervane/support/error.h"
+
+namespace tanagervane {
+namespace {
+
+using nlohmann::json;
+
+json ConfigJson() {
+  return json::parse(R"({"version":7,"routes":[
+    {"name":"g","host":"h","pathPrefix":"/a/","type":"idempotent",
+     "timeoutMs":300,"sloMs":60,"priority":2,"gather":["s1","s2"],
+     "attempts":2,"topK":5,"minShardShare":0.75},
+    {"name":"w","host":"h","pathPrefix":"/b/","type":"non_idempotent",
+     "timeoutMs":300,"trafficSplit":[{"service":"x","weight":1},
+     {"service":"y","weight":3}]}],
+    "services":[{"name":"s1","healthPath":"/healthz","maxConns":31}],
+    "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":3000,
+    "idleTimeoutMs":15000}})");
+}
+
+TEST(ConfigCodecTest, FieldsAreDecoded) {
+  const auto config = DecodeConfig(ConfigJson());
+  ASSERT_TRUE(config.ok());
+  EXPECT_EQ(config->version, 7u);
+  EXPECT_TRUE(config->routes[0].is_fanout());
+  EXPECT_TRUE(config->routes[0].idempotent);
+  EXPECT_EQ(config->routes[0].top_records, 5u);
+  EXPECT_FALSE(config->routes[1].idempotent);
+  EXPECT_EQ(config->routes[1].objective, Millis(300));
+  EXPECT_EQ(config->routes[1].targets[1].weight, 3);
+  EXPECT_EQ(config->services[0].max_connections, 31u);
+  EXPECT_EQ(config->limits.body_bytes, 200u);
+}
+
+// Guards against a kind of request that is unknown being run more than once.
+TEST(ConfigCodecTest, UnknownTypeIsNotRepeatable) {
+  json spec = ConfigJson();
+  spec["routes"][0]["type"] = "something";
+  EXPECT_FALSE(DecodeConfig(spec)->routes[0].idempotent);
+}
+
+// Guards against configurations of which only a part is taken.
+TEST(ConfigCodecTest, MissingOrMistypedFieldsNameTheirPath) {
+  json spec = ConfigJson();
+  spec["routes"][0]["host"] = 5;
+  const auto config = DecodeConfig(spec);
+  ASSERT_FALSE(config.ok());
+  EXPECT_EQ(GetErrorPath(config.status()), "routes.host");
+  for (const char* text : {"null", "[]", "{}", R"({"version":"x"})"}) {
+    EXPECT_FALSE(DecodeConfig(json::parse(text)).ok()) << text;
+  }
+}
+
+json ReplicaJson() {
+  return json::parse(R"({"service":"s","addr":"10.0.0.1:80","zone":"z",
+    "version":"v1","concurrencyLimit":3,"state":"ready","warmupLeftMs":50,
+    "sequence":4,"born":1700000000000})");
+}
+
+TEST(ReplicaCodecTest, EntryIsDecoded) {
+  const auto entry = DecodeReplica("i-1", ReplicaJson());
+  ASSERT_TRUE(entry.ok());
+  EXPECT_EQ(entry->started_at_ms, 1700000000000);
+  EXPECT_EQ(entry->slots, 3u);
+  EXPECT_EQ(entry->warm_up_left, Millis(50));
+}
+
+// Guards against requests to an address that an unknown writer named.
+TEST(ReplicaCodecTest, DamagedEntriesNameNoReplica) {
+  for (const char* field : {"service", "addr", "state", "concurrencyLimit"}) {
+    json missing = ReplicaJson();
+    missing.erase(field);
+    EXPECT_FALSE(DecodeReplica("i", missing).ok()) << field;
+    json mistyped = ReplicaJson();
+    mistyped[field] = json::array();
+    EXPECT_FALSE(DecodeReplica("i", mistyped).ok()) << field;
+  }
+  json state = ReplicaJson();
+  state["state"] = "sleeping";
+  EXPECT_FALSE(DecodeReplica("i", state).ok());
+  json address = ReplicaJson();
+  address["addr"] = "nowhere";
+  EXPECT_FALSE(DecodeReplica("i", address).ok());
+}
+
+TEST(StoreCodecTest, PagesAndEventsAreDecoded) {
+  const auto page =
+      DecodePage(R"({"items":[{"meta":{"name":"a","rev":3},"spec":{"x":1}}],)"
+                 R"("hasMore":true,"at":9})");
+  ASSERT_TRUE(page.ok());
+  EXPECT_EQ(page->objects[0].name, "a");
+  EXPECT_TRUE(page->has_more);
+  EXPECT_EQ(page->revision, 9u);
+  const auto events = DecodeEvents(
+      R"({"events":[{"deleted":true,"object":{"meta":{"name":"a","rev":4}}}],)"
+      R"("at":10})");
+  ASSERT_TRUE(events.ok());
+  EXPECT_TRUE(events->events[0].deleted);
+}
+
+// Guards against damaged answers of the store that end the process.
+RC_GTEST_PROP(StoreCodecProperty, DamagedBodiesAreRejectedOrRead, ()) {
+  std::string text = R"({"items":[{"meta":{"name":"a","rev":3},"spec":)" +
+                     ReplicaJson().dump() + R"(}],"hasMore":false,"at":9})";
+  const auto at = *rc::gen::inRange<size_t>(0, text.size());
+  text[at] = *rc::gen::arbitrary<char>();
+  const auto page = DecodePage(text);
+  if (page.ok()) {
+    for (const StoreObject& object : page->objects) {
+      const auto entry = DecodeReplica(object.name, object.content);
+      RC_ASSERT(entry.ok() || !entry.status().message().empty());
+    }
+  }
+}
+
+HttpRequestMessage Request() {
+  HttpRequestMessage message;
+  message.method = "GET";
+  message.target = "/a/x";
+  message.fields.Add("Host", "h");
+  message.fields.Add("Request-Id", "id1");
+  message.fields.Add("Deadline", "800");
+  message.fields.Add("Connection", "keep-alive, X-Hop");
+  message.fields.Add("X-Hop", "1");
+  message.fields.Add("X-End", "2");
+  message.fields.Add("Target-Instance", "i-evil");
+  return message;
+}
+
+// Guards against fields that are lost, doubled or taken from the caller.
+TEST(CallerCodecTest, FieldsOfTheRequestAreForwarded) {
+  const auto request = DecodeCallerRequest(Request());
+  ASSERT_TRUE(request.ok());
+  EXPECT_EQ(request->time_left, Millis(800));
+  EXPECT_EQ(request->forwarded_fields,
+            "Host: h\r\nRequest-Id: id1\r\nX-End: 2\r\n");
+}
+
+TEST(CallerCodecTest, MalformedRequestsAreRejected) {
+  HttpRequestMessage no_host = Request();
+  no_host.fields = {};
+  EXPECT_FALSE(DecodeCallerRequest(no_host).ok());
+  HttpRequestMessage absolute = Request();
+  absolute.target = "http://h/a/";
+  EXPECT_FALSE(DecodeCallerRequest(absolute).ok());
+  HttpRequestMessage deadline;
+  deadline.target = "/";
+  deadline.fields.Add("Host", "h");
+  deadline.fields.Add("Deadline", "soon");
+  EXPECT_FALSE(DecodeCallerRequest(deadline).ok());
+}
+
+TEST(CallerCodecTest, AnswersCarryWhatCallersCount) {
+  FinalAnswer answer;
+  answer.kind = AnswerKind::kMerged;
+  answer.signatures = {"s1", "s2"};
+  answer.missing_parts = 1;
+  const auto merged = EncodeAnswer(answer, "id1");
+  EXPECT_EQ(merged.status, 200u);
+  EXPECT_EQ(*merged.fields.Find("Part-Stamps"), "s1, s2");
+  EXPECT_EQ(*merged.fields.Find("Missing-Parts"), "1");
+  answer.kind = AnswerKind::kRefused;
+  answer.retry_after = Millis(250);
+  const auto refused = EncodeAnswer(answer, "id1");
+  EXPECT_EQ(refused.status, 503u);
+  EXPECT_EQ(*refused.fields.Find("Retry-After"), "0.250");
+}
+
+// Guards against promises that the tier cannot keep.
+TEST(CallerCodecTest, OnlyRefusalsPromiseThatNothingRan) {
+  FinalAnswer answer;
+  for (const AnswerKind kind : {AnswerKind::kFailed, AnswerKind::kTimedOut}) {
+    answer.kind = kind;
+    const unsigned status = EncodeAnswer(answer, "").status;
+    EXPECT_TRUE(status == 502 || status == 504);
+  }
+}
+
+class ReplyTest : public testing::Test {
+ protected:
+  HttpResponseMessage m_response = [] {
+    HttpResponseMessage response;
+    response.status = 200;
+    response.fields.Add("Request-Id", "id1");
+    response.fields.Add("Server-Seal", "seal");
+    response.fields.Add("Load", "3,1,8");
+    response.body = "body";
+    return response;
+  }();
+
+  ReplyKind Kind(unsigned status, std::string_view field = "") {
+    HttpResponseMessage response = m_response;
+    response.status = status;
+    if (!field.empty()) {
+      response.fields.Add(field, "1");
+    }
+    return DecodeReply(response).kind;
+  }
+};
+
+TEST_F(ReplyTest, KindsFollowFromTheResponse) {
+  EXPECT_EQ(Kind(200), ReplyKind::kSuccess);
+  EXPECT_EQ(Kind(500), ReplyKind::kFailed);
+  EXPECT_EQ(Kind(503), ReplyKind::kFailed);
+  EXPECT_EQ(Kind(503, "Not-Executed"), ReplyKind::kRejected);
+  EXPECT_EQ(Kind(421), ReplyKind::kMisdirected);
+  EXPECT_EQ(Kind(200, "Content-Encoding"), ReplyKind::kCorrupt);
+  m_response.fields = {};
+  EXPECT_EQ(Kind(200), ReplyKind::kCorrupt);
+}
+
+TEST_F(ReplyTest, LoadIsRead) {
+  const auto load = DecodeReply(m_response).load;
+  ASSERT_TRUE(load);
+  EXPECT_EQ(load->running, 3u);
+  EXPECT_EQ(load->waiting, 1u);
+  EXPECT_EQ(load->slots, 8u);
+}
+
+// Guards against requests to another replica that has the address now, and
+// against more time than is left.
+TEST_F(ReplyTest, SendNamesItsReplicaAndTheTimeLeft) {
+  SendOrder order;
+  order.request =
+      std::make_shared<const CallerRequest>(*DecodeCallerRequest(Request()));
+  order.replica = std::make_shared<ServingReplica>();
+  order.replica->entry.id = "i-1";
+  order.time_left = Millis(123.9);
+  const EncodedRequest encoded = EncodeSend(order);
+  EXPECT_EQ(encoded.bytes,
+            "GET /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: id1\r\nX-End: 2\r\n"
+            "Deadline: 123\r\nTarget-Instance: i-1\r\n\r\n");
+  EXPECT_TRUE(encoded.belongs(m_response));
+  HttpResponseMessage other;
+  other.fields.Add("Request-Id", "id2");
+  EXPECT_FALSE(encoded.belongs(other));
+}
+
+TEST_F(ReplyTest, HealthCountsOnlyFromTheSameReplica) {
+  ServingReplica replica;
+  replica.entry.id = "i-1";
+  HttpResponseMessage response;
+  response.status = 200;
+  EXPECT_FALSE(IsHealthy(replica, response));
+  response.fields.Add("Instance-Id", "i-1");
+  EXPECT_TRUE(IsHealthy(replica, response));
+  response.status = 503;
+  EXPECT_FALSE(IsHealthy(replica, response));
+}
+
+}  // namespace
+}  // namespace tanagervane
