--- /dev/null
+++ b/integration/platform_standin.py
@@ -0,0 +1,310 @@
+"""A stand-in for the users' platform: its store and its replicas.
+
+Runs on loopback within the test's process. The store has revisions, pages,
+watches and conditional writes; it can be made slow, deaf, forgetful, refusing
+or silent. Each replica answers with a seal that the test can check, counts
+what it ran, and can be made slow, silent, shedding, crashing or garbling.
+"""
+
+import asyncio
+import collections
+import hashlib
+import json
+import threading
+import time
+import urllib.parse
+
+HOST = "127.0.0.1"
+PAGE = 20
+
+
+class Request:
+
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.headers = headers
+        self.body = body
+        path, _, query = target.partition("?")
+        self.target = target
+        self.path = path
+        self.query = dict(urllib.parse.parse_qsl(query))
+
+
+async def read_request(reader):
+    """The next request, or None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        method, target, _ = lines[0].split(" ")
+        headers = {}
+        for line in lines[1:-2]:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        return Request(method, target, headers, body)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+
+
+def response(status, body=b"", headers=()):
+    lines = ["HTTP/1.1 %d X" % status, "Content-Length: %d" % len(body)]
+    lines += ["%s: %s" % item for item in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Server:
+    """Accepts connections; `answer` maps a request to bytes or None, which
+    closes the connection."""
+
+    def __init__(self, platform, port=0):
+        self.platform = platform
+        self.port = port
+        self.writers = set()
+        self.server = platform.call(self.listen())
+
+    async def listen(self):
+        server = await asyncio.start_server(self.serve, HOST, self.port)
+        self.port = server.sockets[0].getsockname()[1]
+        return server
+
+    @property
+    def address(self):
+        return "%s:%d" % (HOST, self.port)
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                request = await read_request(reader)
+                if request is None:
+                    return
+                reply = await self.answer(request)
+                if reply is None:
+                    return
+                writer.write(reply)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.transport.abort()
+
+    def close(self):
+        async def end():
+            self.server.close()
+            for writer in list(self.writers):
+                writer.transport.abort()
+        self.platform.call(end())
+
+
+class Store(Server):
+
+    def __init__(self, platform):
+        self.objects = collections.defaultdict(dict)
+        self.events = []
+        self.oldest = 0
+        self.revision = 1
+        self.changed = None
+        self.calls = 0
+        # Faults.
+        self.refuse = False
+        self.silent = False
+        self.deaf = False
+        super().__init__(platform)
+
+    def put(self, kind, name, spec):
+        self.platform.call(self.apply(kind, name, spec))
+
+    def delete(self, kind, name):
+        self.platform.call(self.apply(kind, name, None))
+
+    def forget_history(self):
+        self.oldest = self.revision
+
+    async def apply(self, kind, name, spec):
+        old = self.objects[kind].get(name)
+        if spec is not None and old and old["spec"] == spec:
+            return old
+        self.revision += 1
+        item = {"meta": {"name": name, "rev": self.revision}, "spec": spec,
+                "status": None}
+        if spec is None:
+            item = dict(old, meta={"name": name, "rev": self.revision})
+            del self.objects[kind][name]
+        else:
+            self.objects[kind][name] = item
+        self.events.append((self.revision, kind,
+                            {"object": item, "deleted": spec is None}))
+        if self.changed:
+            self.changed.set()
+        return item
+
+    async def answer(self, request):
+        self.calls += 1
+        if self.silent:
+            await asyncio.sleep(3600)
+        if self.refuse:
+            return response(503)
+        parts = request.path.split("/")[3:]
+        kind = parts[0]
+        if request.method == "GET" and "watch" in request.query:
+            return await self.watch(kind, request.query)
+        if request.method == "GET":
+            return self.list(kind, request.query.get("after", ""))
+        if request.method == "DELETE":
+            if parts[1] not in self.objects[kind]:
+                return response(404)
+            await self.apply(kind, parts[1], None)
+            return response(200, b"{}")
+        body = json.loads(request.body)
+        name = parts[1] if len(parts) > 1 else body["meta"]["name"]
+        if request.method == "POST" and name in self.objects[kind]:
+            return response(409, json.dumps(self.objects[kind][name]).encode())
+        item = await self.apply(kind, name, body["spec"])
+        return response(200, json.dumps(item).encode())
+
+    def list(self, kind, after):
+        names = sorted(n for n in self.objects[kind] if n > after)
+        body = {"items": [self.objects[kind][n] for n in names[:PAGE]],
+                "hasMore": len(names) > PAGE, "at": self.revision}
+        return response(200, json.dumps(body).encode())
+
+    async def watch(self, kind, query):
+        since = int(query["watch"])
+        end = time.monotonic() + int(query["waitMs"]) / 1000
+        while True:
+            if since < self.oldest:
+                return response(410)
+            found = [] if self.deaf else [
+                e for r, k, e in self.events if k == kind and r > since]
+            left = end - time.monotonic()
+            if found or left <= 0:
+                body = {"events": found, "at": self.revision}
+                return response(200, json.dumps(body).encode())
+            self.changed = self.changed or asyncio.Event()
+            self.changed.clear()
+            try:
+                await asyncio.wait_for(self.changed.wait(), min(left, 0.05))
+            except asyncio.TimeoutError:
+                pass
+
+
+class Replica(Server):
+
+    def __init__(self, platform, service, name, work_ms=4, slots=4):
+        self.service = service
+        self.name = name
+        self.work_ms = work_ms
+        self.slots = slots
+        self.running = 0
+        self.ran = []
+        self.rejected = 0
+        # Faults.
+        self.mode = "good"
+        super().__init__(platform)
+        self.register()
+
+    def entry(self, state="ready"):
+        return {"service": self.service, "addr": self.address, "zone": "a",
+                "version": "v1", "concurrencyLimit": self.slots,
+                "state": state, "warmupLeftMs": 0, "sequence": 1,
+                "born": 1700000000000}
+
+    def register(self, state="ready"):
+        self.platform.store.put("servers", self.name, self.entry(state))
+
+    def records(self, request_id):
+        """Twelve records that depend on the replica's service and the id."""
+        return [hashlib.md5(("%s/%s/%d" % (self.service, request_id, i))
+                            .encode()).digest() for i in range(12)]
+
+    def headers(self, request):
+        return [("Request-Id", request.headers.get("request-id", "")),
+                ("Instance-Id", self.name),
+                ("Load", "%d,0,%d" % (self.running, self.slots))]
+
+    async def answer(self, request):
+        if request.path == "/healthz":
+            status = 503 if self.mode == "silent" else 200
+            return response(status, b"", [("Instance-Id", self.name)])
+        if request.headers.get("target-instance") not in (None, self.name):
+            return response(421, b"", [("Instance-Id", self.name)])
+        if self.mode == "shed":
+            self.rejected += 1
+            return response(503, b"", self.headers(request) +
+                            [("Not-Executed", "1")])
+        self.ran.append(request.headers.get("request-id"))
+        if self.mode == "reset":
+            return None
+        if self.mode == "silent":
+            await asyncio.sleep(3600)
+        self.running += 1
+        await asyncio.sleep(self.work_ms / 1000)
+        self.running -= 1
+        if self.mode == "error":
+            return response(500, b"broken", self.headers(request) +
+                            [("Server-Seal", "seal-" + self.name)])
+        body = b"".join(self.records(request.headers["request-id"]))
+        reply = response(200, body, self.headers(request) + [
+            ("Server-Seal", "%s.%s" % (self.service, self.name))])
+        if self.mode == "cut":
+            self.platform.loop.call_soon(self.abort_all)
+            return reply[:-20]
+        if self.mode == "extra":
+            return reply + response(200, b"stray", [
+                ("Request-Id", "another"), ("Server-Seal", "stray")])
+        return reply
+
+    def abort_all(self):
+        for writer in list(self.writers):
+            writer.close()
+
+
+class Platform:
+    """The store, and replicas by service."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever,
+                                       daemon=True)
+        self.thread.start()
+        self.store = Store(self)
+        self.replicas = collections.defaultdict(list)
+        self.version = 0
+
+    def call(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(
+            coroutine, self.loop).result(10)
+
+    def add_replicas(self, service, count, **options):
+        for _ in range(count):
+            name = "i-%s-%d" % (service, len(self.replicas[service]))
+            self.replicas[service].append(
+                Replica(self, service, name, **options))
+
+    def all_replicas(self):
+        return [r for group in self.replicas.values() for r in group]
+
+    def configure(self, routes):
+        self.version += 3
+        services = [{"name": name, "healthPath": "/healthz", "maxConns": 40,
+                     "protocol": "h1", "tls": False} for name in self.replicas]
+        self.store.put("config", "main", {
+            "version": self.version, "routes": routes, "services": services,
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+
+    def close(self):
+        for server in self.all_replicas() + [self.store]:
+            server.close()
+        self.call(self.end_tasks())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5)
+        self.loop.close()
+
+    @staticmethod
+    async def end_tasks():
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
--- /dev/null
+++ b/integration/test_platform.py
@@ -0,0 +1,296 @@
+"""tanagervane-node on the stand-in of the users' platform."""
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+import unittest
+import uuid
+
+from platform_standin import Platform
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+BUILD = os.environ.get("TANAGERVANE_BUILD", os.path.join(ROOT, "build"))
+SHARDS = ["s%d" % i for i in range(4)]
+BASE_PORT = 21000 + os.getpid() % 500 * 10
+
+
+class Node:
+    """One node process with an address of its own on loopback."""
+
+    def __init__(self, number, platform, directory):
+        self.ip = "127.0.7.%d" % number
+        self.path = os.path.join(directory, "node-%d.json" % number)
+        self.log_path = os.path.join(directory, "node-%d.log" % number)
+        self.callers, self.readiness, self.directory = (
+            "%s:%d" % (self.ip, BASE_PORT + i) for i in range(3))
+        with open(self.path, "w", encoding="utf-8") as file:
+            json.dump({
+                "id": "node-%d" % number, "data_centre": "a",
+                "store_address": platform.store.address,
+                "max_descriptors": 1024,
+                "listeners": {
+                    "ip": self.ip, "callers": self.callers,
+                    "readiness": self.readiness, "directory": self.directory,
+                    "first_vm_port": BASE_PORT + 5},
+                "bounds": {"stop_grace_s": 3, "retry_ratio": 0.2,
+                           "retry_slack": 100, "retry_window_s": 10},
+                "policy": {"address_lifetime_ms": 200}}, file)
+        self.process = None
+        self.start()
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [os.path.join(BUILD, "tanagervane-node"),
+                 "--settings=" + self.path], stdout=log, stderr=log)
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8") as file:
+            return file.read()
+
+    def ready(self):
+        return get(self.readiness, "/tanagervane/ready").status == 200
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+            self.process.wait(10)
+
+
+class Reply:
+
+    def __init__(self, status=0, headers=None, body=b"", seconds=0.0):
+        self.status = status
+        self.headers = headers or {}
+        self.body = body
+        self.seconds = seconds
+
+
+def get(address, path, headers=None, method="GET", body=None, timeout=5):
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    start = time.monotonic()
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return Reply(answer.status, dict(answer.getheaders()), answer.read(),
+                     time.monotonic() - start)
+    except (OSError, http.client.HTTPException):
+        return Reply()
+    finally:
+        connection.close()
+
+
+def wait_for(condition, what, seconds=10):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError("not within %d s: %s" % (seconds, what))
+
+
+def routes(shards=None, one="desk"):
+    common = {"host": "h.example", "timeoutMs": 1000, "sloMs": 300,
+              "attempts": 2, "priority": 1}
+    return [
+        dict(common, name="all", pathPrefix="/all/", type="idempotent",
+             gather=shards or SHARDS, topK=5, minShardShare=0.75),
+        dict(common, name="one", pathPrefix="/one/", type="non_idempotent",
+             service=one),
+        dict(common, name="again", pathPrefix="/again/", type="idempotent",
+             service=one)]
+
+
+class PlatformTest(unittest.TestCase):
+
+    def setUp(self):
+        self.platform = Platform()
+        self.addCleanup(self.platform.close)
+        for shard in SHARDS:
+            self.platform.add_replicas(shard, 3)
+        self.platform.add_replicas("desk", 3)
+        self.platform.configure(routes())
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.nodes = [Node(i + 1, self.platform, folder.name)
+                      for i in range(2)]
+        for node in self.nodes:
+            self.addCleanup(node.stop)
+            wait_for(node.ready, "node is ready")
+
+    def ask(self, path, node=None, method="GET", body=None, deadline=1000):
+        request_id = uuid.uuid4().hex
+        reply = get((node or self.nodes[0]).callers, path, {
+            "Host": "h.example", "Request-Id": request_id,
+            "Deadline": str(deadline)}, method, body)
+        reply.id = request_id
+        return reply
+
+    def check_merged(self, reply):
+        """The body is the merge of exactly the parts that are named."""
+        self.assertEqual(reply.status, 200)
+        parts = reply.headers["Part-Stamps"].split(", ")
+        services = [part.split(".")[0] for part in parts]
+        self.assertEqual(len(services), len(set(services)))
+        self.assertEqual(len(parts) + int(reply.headers["Missing-Parts"]),
+                         len(SHARDS))
+        records = [r for s in services
+                   for r in self.platform.replicas[s][0].records(reply.id)]
+        self.assertEqual(reply.body,
+                         b"".join(sorted(records, reverse=True)[:5]))
+
+    def addresses(self, node):
+        reply = get(node.directory, "/tanagervane/resolve?name=h.example")
+        return set(json.loads(reply.body)["addrs"]) if reply.body else set()
+
+    def test_each_kind_of_request_is_served(self):
+        """Guards against a path that does not hold from end to end."""
+        for node in self.nodes:
+            for _ in range(20):
+                self.check_merged(self.ask("/all/x", node))
+                reply = self.ask("/one/x", node, "POST", b"order")
+                self.assertEqual(reply.status, 200)
+                self.assertIn("Server-Seal", reply.headers)
+        self.assertEqual(self.ask("/none/x").status, 404)
+        wait_for(lambda: self.addresses(self.nodes[0]) ==
+                 {n.callers for n in self.nodes}, "both are in the directory")
+
+    def test_damaged_answers_reach_nobody(self):
+        """Guards against cut, stray and failed parts in an answer."""
+        for mode in ("cut", "extra", "error", "shed", "reset"):
+            for shard in SHARDS:
+                self.platform.replicas[shard][0].mode = mode
+            for _ in range(20):
+                self.check_merged(self.ask("/all/x"))
+
+    def test_unrepeatable_request_runs_once(self):
+        """Guards against a second run, and an untrue word that none began."""
+        for replica in self.platform.replicas["desk"]:
+            replica.mode = "reset"
+        ids = []
+        for _ in range(5):
+            reply = self.ask("/one/x", method="POST", body=b"order")
+            self.assertIn(reply.status, (502, 503))
+            ids.append((reply.id, reply.status))
+        ran = [r for replica in self.platform.replicas["desk"]
+               for r in replica.ran]
+        for request_id, status in ids:
+            self.assertLessEqual(ran.count(request_id), 1)
+            if status == 503:
+                self.assertEqual(ran.count(request_id), 0)
+
+    def test_silent_shard_does_not_hold_answers(self):
+        """Guards against late answers while a whole shard is silent."""
+        for replica in self.platform.replicas[SHARDS[0]]:
+            replica.mode = "silent"
+        for _ in range(5):
+            reply = self.ask("/all/x")
+            self.check_merged(reply)
+            self.assertLess(reply.seconds, 0.4)
+        time.sleep(1.5)
+        reply = self.ask("/all/x")
+        self.check_merged(reply)
+        self.assertEqual(reply.headers["Missing-Parts"], "1")
+
+    def test_store_outages_and_changes(self):
+        """Guards against versions that do not come, or go back, around
+        outages, a forgotten history and a watch that hears nothing."""
+        store = self.platform.store
+        moved = iter(range(100))
+
+        def move():
+            service = "desk%d" % next(moved)
+            self.platform.add_replicas(service, 2)
+            self.platform.configure(routes(one=service))
+            return service
+
+        def serves(node, service):
+            seal = self.ask("/again/x", node).headers.get("Server-Seal", "")
+            return seal.startswith(service + ".")
+
+        for fault in ("none", "refuse", "deaf", "forget"):
+            if fault in ("refuse", "deaf"):
+                setattr(store, fault, True)
+                time.sleep(0.3)
+                self.check_merged(self.ask("/all/x"))
+            service = move()
+            if fault == "forget":
+                store.forget_history()
+            time.sleep(0.2)
+            store.refuse = False
+            if fault == "deaf":
+                # One VM learns by a new watch; the other one by gossip.
+                self.nodes[0].stop()
+                self.nodes[0].start()
+                wait_for(self.nodes[0].ready, "restarted")
+            for node in self.nodes:
+                wait_for(lambda n=node: serves(n, service),
+                         "%s: version in force" % fault, 3)
+            store.deaf = False
+
+    def test_planned_stop_loses_nothing(self):
+        """Guards against requests cut by a stop, and against callers that are
+        sent to a VM that is going."""
+        for replica in self.platform.all_replicas():
+            replica.work_ms = 100
+        wait_for(lambda: len(self.addresses(self.nodes[0])) == 2, "both known")
+        replies = []
+        threads = [threading.Thread(
+            target=lambda: replies.append(self.ask("/one/x", method="POST",
+                                                   body=b"x")))
+                   for _ in range(20)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.03)
+        self.nodes[0].process.send_signal(signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        self.assertEqual([r.status for r in replies], [200] * 20)
+        self.assertFalse(self.nodes[0].ready())
+        wait_for(lambda: self.addresses(self.nodes[1]) ==
+                 {self.nodes[1].callers}, "left the directory", 2)
+        self.assertEqual(self.nodes[0].process.wait(5), 0)
+        self.assertIn("event=stopped", self.nodes[0].log())
+
+    def test_failed_request_is_explained_by_its_id(self):
+        """Guards against failures that the logs do not explain."""
+        for shard in SHARDS[:2]:
+            for replica in self.platform.replicas[shard]:
+                replica.mode = "silent"
+        timed_out = self.ask("/all/x", deadline=600)
+        self.assertEqual(timed_out.status, 504)
+        # Each request finds two silent replicas of a shard; it has three.
+        replies = []
+        wait_for(lambda: replies.append(self.ask("/all/x", deadline=600)) or
+                 replies[-1].status == 503, "refused at once")
+        refused = replies[-1]
+        self.assertLess(refused.seconds, 0.1)
+        self.assertIn("Retry-After", refused.headers)
+        time.sleep(0.3)
+        lines = self.nodes[0].log().splitlines()
+        for reply, outcome in ((timed_out, "timed_out"), (refused, "refused")):
+            found = [l for l in lines if "request=" + reply.id in l]
+            self.assertTrue(any("outcome=" + outcome in l for l in found),
+                            found)
+        self.assertTrue(any("event=replica_belief" in l and
+                            "state=unresponsive" in l for l in lines))
+
+    def test_metrics_and_reload(self):
+        """Guards against counters that nobody can read, and against a reload
+        that ends the process."""
+        self.ask("/all/x")
+        metrics = get("%s:%d" % (self.nodes[0].ip, BASE_PORT + 6), "/metrics")
+        self.assertIn(b"tanagervane_requests_total", metrics.body)
+        self.nodes[0].process.send_signal(signal.SIGHUP)
+        wait_for(lambda: "event=settings_reloaded" in self.nodes[0].log(),
+                 "reload is logged")
+        self.check_merged(self.ask("/all/x"))
+
+
+if __name__ == "__main__":
+    unittest.main()
