--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -101,7 +101,8 @@
   /// When OnTick() is due next, or nothing.
   std::optional<Millis> NextTimer() const;
 
-  /// Starts the health probes that are due; call it a few times a second.
+  /// Notices silent replicas and starts the health probes that are due; call it
+  /// a few times a second.
   void Sweep(Millis now);
 
   size_t running() const { return m_requests.size(); }
@@ -203,6 +204,9 @@
 
   // Attempts.
   std::optional<Attempt> TakeAttempt(uint64_t id);
+  static Millis SilenceLimit(const PlannedRoute& route);
+  /// How long attempts run on after the request has ended.
+  static Millis OrphanGrace(const Request& request);
   void OrphanAttempt(uint64_t id, Millis abandon_at);
   void LearnFromReply(Attempt& attempt, const ReplicaReply& reply, Millis now);
   void HandleReply(Request& request,
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -81,6 +81,10 @@
   /// answer.
   Millis answered_sent{-1};
   Millis answered_at{-1};
+  /// Send time of the first attempt after the latest answer.
+  std::optional<Millis> unanswered_since;
+  /// How long it may stay without an answer before it counts as silent.
+  Millis silence_limit;
   /// An attempt is unanswered for too long and no later one was answered.
   bool overdue = false;
   /// Connections to it fail or stay silent: it gets health probes only.
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -38,6 +38,11 @@
 constexpr double kHedgeOverMedian = 1.6;
 constexpr double kHedgeObjectivePart = 0.4;
 
+/// A replica that has not answered anything for this long is silent, or for
+/// this many median latencies of a slower route.
+constexpr Millis kSilentAfter{600};
+constexpr double kSilentLatencies = 4;
+
 /// Callers told to come back sooner would meet the same replicas.
 constexpr Millis kNoReplicaRetryAfter{400};
 constexpr Millis kNoConfigRetryAfter{500};
@@ -306,6 +311,11 @@
   return std::max(std::min(observed, bound), kSmallestHedgeDelay);
 }
 
+Millis Dispatcher::SilenceLimit(const PlannedRoute& route) {
+  return std::max(kSilentAfter,
+                  route.stats->attempts.median() * kSilentLatencies);
+}
+
 void Dispatcher::Send(Request& request,
                       size_t index,
                       const std::shared_ptr<ServingReplica>& replica,
@@ -323,6 +333,12 @@
   attempt.idempotent = request.route->spec.idempotent;
   m_attempts[id] = std::move(attempt);
   replica->attempts.push_back(id);
+  if (!replica->unanswered_since) {
+    replica->unanswered_since = now;
+    replica->silence_limit = Millis(0);
+  }
+  replica->silence_limit =
+      std::max(replica->silence_limit, SilenceLimit(*request.route));
   part.open.push_back(id);
   part.tried.push_back(replica.get());
   ++part.reached;
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -11,9 +11,12 @@
 
 namespace {
 
-/// How long an attempt that lost its request may run on. Most end sooner, and
-/// ending one costs the connection.
-constexpr Millis kOrphanGrace{600};
+/// How long an attempt that lost its request may run on, as a multiple of the
+/// median latency. Most end sooner, and ending one costs the connection; one on
+/// a slow replica takes the room of a request that is still wanted.
+constexpr double kOrphanLatencies = 4;
+constexpr Millis kShortestOrphanGrace{60};
+constexpr Millis kLongestOrphanGrace{600};
 
 /// The same after the caller has gone.
 constexpr Millis kGoneGrace{150};
@@ -73,6 +76,7 @@
   ServingReplica& replica = *attempt.replica;
   replica.answered_sent = std::max(replica.answered_sent, attempt.sent);
   replica.answered_at = now;
+  replica.unanswered_since.reset();
   if (reply.load) {
     replica.load = reply.load;
     replica.load_at = now;
@@ -132,7 +136,7 @@
       ++request.done;
       for (const uint64_t other : std::exchange(part.open, {})) {
         assert(other != id);
-        OrphanAttempt(other, now + kOrphanGrace);
+        OrphanAttempt(other, now + OrphanGrace(request));
       }
       return;
     case ReplyKind::kFailed:
@@ -190,6 +194,12 @@
   Advance(*request, now);
 }
 
+Millis Dispatcher::OrphanGrace(const Request& request) {
+  const Millis usual = request.route->stats->attempts.median();
+  return std::clamp(usual * kOrphanLatencies, kShortestOrphanGrace,
+                    kLongestOrphanGrace);
+}
+
 void Dispatcher::OrphanAttempt(uint64_t id, Millis abandon_at) {
   Attempt& attempt = m_attempts.at(id);
   attempt.abandon_at = abandon_at;
@@ -205,10 +215,11 @@
     ++m_stats.abandoned;
     ServingReplica& replica = *attempt->replica;
     m_hooks.abandon(id, replica);
-    const bool silent = replica.answered_at < attempt->sent &&
-                        now - attempt->sent >= kOrphanGrace;
-    if (silent) {
-      MarkUnresponsive(replica, "silent", now);
+    // The replica takes at least this long.
+    const Millis age = now - attempt->sent;
+    const Millis usual = attempt->stats->attempts.median();
+    if (age > usual) {
+      m_chooser.RecordLatency(replica, age, usual, now);
     }
   }
 }
@@ -267,6 +278,7 @@
   replica.next_probe = now + kProbePeriod;
   if (healthy) {
     replica.answered_at = now;
+    replica.unanswered_since.reset();
     MarkAnswering(replica, now);
   }
 }
@@ -274,6 +286,10 @@
 void Dispatcher::Sweep(Millis now) {
   m_replicas.ForEachService([&](Service& service) {
     for (const auto& replica : service.replicas) {
+      if (replica->unanswered_since &&
+          now - *replica->unanswered_since >= replica->silence_limit) {
+        MarkUnresponsive(*replica, "silent", now);
+      }
       if (!replica->unresponsive || replica->leaving || replica->probe_open ||
           now < replica->next_probe) {
         continue;
@@ -286,7 +302,7 @@
 }
 
 void Dispatcher::Release(Request& request, Millis now, bool caller_gone) {
-  Millis abandon_at = now + (caller_gone ? kGoneGrace : kOrphanGrace);
+  Millis abandon_at = now + (caller_gone ? kGoneGrace : OrphanGrace(request));
   if (!request.route->spec.idempotent) {
     abandon_at = request.deadline + kUnrepeatableGrace;
   }
--- a/unittests/serving/dispatcher_test.cc
+++ b/unittests/serving/dispatcher_test.cc
@@ -304,8 +304,10 @@
   h.AnswerAll(sends);
   h.Advance(Millis(100));
   h.AnswerAll(h.TakeSends());
-  h.Advance(Millis(1500));
+  h.Advance(Millis(700));
+  h.dispatcher.Sweep(h.now);
   EXPECT_TRUE(silent->unresponsive);
+  h.Advance(Millis(600));
   h.dispatcher.Sweep(h.now);
   ASSERT_EQ(h.probes.size(), 1u);
   EXPECT_EQ(h.probes[0].get(), silent);
@@ -313,6 +315,46 @@
   EXPECT_FALSE(silent->unresponsive);
 }
 
+// Guards against attempts that nobody waits for and that keep wanted requests
+// from slow replicas. The load: every replica of a shard takes half a second,
+// and each request is answered without it.
+TEST(DispatcherTest, LosingAttemptsMakeRoom) {
+  Harness h;
+  h.replicas.SetFleet(2, {.ratio = 0.2, .slack = 1000});
+  for (int i = 0; i < 40; ++i) {
+    h.Submit("/all/x");
+    h.Advance(Millis(10));
+    h.AnswerAll(h.TakeSends());
+  }
+  std::vector<std::pair<Millis, SendOrder>> slow;
+  size_t with_all_shards = 0;
+  constexpr size_t kRequests = 100;
+  for (size_t i = 0; i < kRequests; ++i) {
+    h.Submit("/all/x");
+    std::vector<SendOrder> fast;
+    std::set<Service*> reached;
+    for (const SendOrder& order : h.TakeSends()) {
+      reached.insert(order.replica->service);
+      if (order.replica->service->name == "shard0") {
+        slow.emplace_back(h.now, order);
+      } else {
+        fast.push_back(order);
+      }
+    }
+    with_all_shards += reached.size() == Harness::kShards ? 1 : 0;
+    h.Advance(Millis(15));
+    h.AnswerAll(fast);
+    std::erase_if(slow, [&](const auto& sent) {
+      const bool due = h.now - sent.first >= Millis(500);
+      if (due) {
+        h.AnswerAll({sent.second});
+      }
+      return due;
+    });
+  }
+  EXPECT_GT(with_all_shards, kRequests * 8 / 10);
+}
+
 // Guards against a request that crashes one replica after the other.
 TEST(DispatcherTest, RequestThatCrashesReplicasIsRefused) {
   Harness h;
