--- a/include/tanagervane/state/kind_follower.h
+++ b/include/tanagervane/state/kind_follower.h
@@ -119,7 +119,6 @@
   Random m_random;
   std::vector<StoreObject> m_pages;
   uint64_t m_revision = 0;
-  bool m_first_page = true;
   bool m_has_snapshot = false;
   bool m_reachable = true;
   Millis m_backoff;
--- a/include/tanagervane/support/bounded_log.h
+++ b/include/tanagervane/support/bounded_log.h
@@ -17,7 +17,7 @@
   double lines_per_second = 200;
   double burst_lines = 400;
   /// Bytes that wait while the reader is slow; further lines are dropped.
-  size_t pending_bytes = 256 * 1024;
+  size_t pending_bytes = 262'144;
 };
 
 /// Collects lines and writes them to a descriptor in batches. What it drops is
--- a/lib/query/attempt_table.cc
+++ b/lib/query/attempt_table.cc
@@ -48,6 +48,7 @@
     }
   }
   std::vector<Quarantine::InFlight> requests;
+  requests.reserve(latest.size());
   for (const auto& [fingerprint, sent] : latest) {
     requests.push_back({fingerprint, sent});
   }
--- a/tools/tanagervane-node/main.cc
+++ b/tools/tanagervane-node/main.cc
@@ -40,7 +40,7 @@
 }
 
 std::string SettingsPath() {
-  const std::string flag = absl::GetFlag(FLAGS_settings);
+  std::string flag = absl::GetFlag(FLAGS_settings);
   if (!flag.empty()) {
     return flag;
   }
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -24,8 +24,9 @@
 constexpr Millis kRegisterRetry{500};
 constexpr Millis kListVmsPeriod{15'000};
 
-/// Changes of replicas that come together are read with one call.
-constexpr Millis kReplicaBatching{120};
+/// Changes of replicas that come together are read with one call. A replica
+/// that leaves serves on for seconds.
+constexpr Millis kReplicaBatching{400};
 
 /// Callers keep an address for up to three times the lifetime that the
 /// directory states.
