End a test's timer with the test

Cause: SlowHeadersAndIdleConnectionsEnd left a periodic timer in the default main context; it swept the listener of a fixture that was gone, and RefusedConnectionWasNeverSent crashed in 6 of 6 runs. The earlier runs passed because the freed memory still held the old listener.

Change: the test cancels its timer. No product code is concerned: timers of the node live as long as the process.

Measured: 6 of 6 runs of net_unittests pass.

--- a/unittests/net/loopback_test.cc
+++ b/unittests/net/loopback_test.cc
@@ -129,13 +129,16 @@
 TEST_F(LoopbackTest, SlowHeadersAndIdleConnectionsEnd) {
   const int slow = RawConnect("GET /x HTTP/1.1\r\nHos");
   const int idle = RawConnect(kGet);
-  m_loop.Every(Millis(20), [this] { m_listener->Sweep(); });
+  const EventLoop::TimerId sweep =
+      m_loop.Every(Millis(20), [this] { m_listener->Sweep(); });
   RunFor(Millis(250));
   EXPECT_NE(ReadAll(slow).find("408"), std::string::npos);
   EXPECT_NE(ReadAll(idle).find("200"), std::string::npos);
   RunFor(Millis(400));
   char byte = 0;
   EXPECT_EQ(recv(idle, &byte, 1, MSG_DONTWAIT), 0);
+  // The loop's timers outlive a test.
+  m_loop.CancelTimer(sweep);
   close(slow);
   close(idle);
 }
