Add a fault soak of the platform path; keep the store's kinds in platform/

Cause: the users ask for a randomised soak of the real programs, and node.cc used names of the wire.

--- a/include/tanagervane/program/flags.h
+++ b/include/tanagervane/program/flags.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/status/status.h"
+
 namespace tanagervane {
 
 inline constexpr int kExitDone = 0;
@@ -36,6 +38,10 @@
 /// Ends the process with status 2 after writing `message` to standard error.
 [[noreturn]] void FailUsage(std::string_view message);
 
+/// Logs `event` with the path and the reason of a failure; the exit status for
+/// it.
+int ReportError(std::string_view event, const absl::Status& status);
+
 /// The parts of `text` between separators; empty parts are left out.
 std::vector<std::string> SplitList(std::string_view text, char separator);
 
--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -8,12 +8,13 @@
 
 import asyncio
 import collections
-import hashlib
 import json
 import threading
 import time
 import urllib.parse
 
+from platform_cluster import records_of
+
 HOST = "127.0.0.1"
 PAGE = 20
 
@@ -213,11 +214,6 @@
     def register(self, state="ready"):
         self.platform.store.put("servers", self.name, self.entry(state))
 
-    def records(self, request_id):
-        """Twelve records that depend on the replica's service and the id."""
-        return [hashlib.md5(("%s/%s/%d" % (self.service, request_id, i))
-                            .encode()).digest() for i in range(12)]
-
     def headers(self, request):
         return [("Request-Id", request.headers.get("request-id", "")),
                 ("Instance-Id", self.name),
@@ -244,7 +240,8 @@
         if self.mode == "error":
             return response(500, b"broken", self.headers(request) +
                             [("Server-Seal", "seal-" + self.name)])
-        body = b"".join(self.records(request.headers["request-id"]))
+        body = b"".join(records_of(
+            self.service, request.headers["request-id"]))
         reply = response(200, body, self.headers(request) + [
             ("Server-Seal", "%s.%s" % (self.service, self.name))])
         if self.mode == "cut":
--- a/integration/test_platform.py
+++ b/integration/test_platform.py
@@ -1,110 +1,16 @@
 """tanagervane-node on the stand-in of the users' platform."""
 
-import http.client
 import json
-import os
 import signal
-import subprocess
 import tempfile
 import threading
 import time
 import unittest
-import uuid
 
+from platform_cluster import (BASE_PORT, SHARDS, Node, ask, get, merge_problem,
+                              routes, wait_for)
 from platform_standin import Platform
 
-ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-BUILD = os.environ.get("TANAGERVANE_BUILD", os.path.join(ROOT, "build"))
-SHARDS = ["s%d" % i for i in range(4)]
-BASE_PORT = 21000 + os.getpid() % 500 * 10
-
-
-class Node:
-    """One node process with an address of its own on loopback."""
-
-    def __init__(self, number, platform, directory):
-        self.ip = "127.0.7.%d" % number
-        self.path = os.path.join(directory, "node-%d.json" % number)
-        self.log_path = os.path.join(directory, "node-%d.log" % number)
-        self.callers, self.readiness, self.directory = (
-            "%s:%d" % (self.ip, BASE_PORT + i) for i in range(3))
-        with open(self.path, "w", encoding="utf-8") as file:
-            json.dump({
-                "id": "node-%d" % number, "data_centre": "a",
-                "store_address": platform.store.address,
-                "max_descriptors": 1024,
-                "listeners": {
-                    "ip": self.ip, "callers": self.callers,
-                    "readiness": self.readiness, "directory": self.directory,
-                    "first_vm_port": BASE_PORT + 5},
-                "bounds": {"stop_grace_s": 3, "retry_ratio": 0.2,
-                           "retry_slack": 100, "retry_window_s": 10},
-                "policy": {"address_lifetime_ms": 200}}, file)
-        self.process = None
-        self.start()
-
-    def start(self):
-        with open(self.log_path, "ab") as log:
-            self.process = subprocess.Popen(
-                [os.path.join(BUILD, "tanagervane-node"),
-                 "--settings=" + self.path], stdout=log, stderr=log)
-
-    def log(self):
-        with open(self.log_path, encoding="utf-8") as file:
-            return file.read()
-
-    def ready(self):
-        return get(self.readiness, "/tanagervane/ready").status == 200
-
-    def stop(self):
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGTERM)
-            self.process.wait(10)
-
-
-class Reply:
-
-    def __init__(self, status=0, headers=None, body=b"", seconds=0.0):
-        self.status = status
-        self.headers = headers or {}
-        self.body = body
-        self.seconds = seconds
-
-
-def get(address, path, headers=None, method="GET", body=None, timeout=5):
-    connection = http.client.HTTPConnection(address, timeout=timeout)
-    start = time.monotonic()
-    try:
-        connection.request(method, path, body, headers or {})
-        answer = connection.getresponse()
-        return Reply(answer.status, dict(answer.getheaders()), answer.read(),
-                     time.monotonic() - start)
-    except (OSError, http.client.HTTPException):
-        return Reply()
-    finally:
-        connection.close()
-
-
-def wait_for(condition, what, seconds=10):
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        if condition():
-            return
-        time.sleep(0.02)
-    raise AssertionError("not within %d s: %s" % (seconds, what))
-
-
-def routes(shards=None, one="desk"):
-    common = {"host": "h.example", "timeoutMs": 1000, "sloMs": 300,
-              "attempts": 2, "priority": 1}
-    return [
-        dict(common, name="all", pathPrefix="/all/", type="idempotent",
-             gather=shards or SHARDS, topK=5, minShardShare=0.75),
-        dict(common, name="one", pathPrefix="/one/", type="non_idempotent",
-             service=one),
-        dict(common, name="again", pathPrefix="/again/", type="idempotent",
-             service=one)]
-
 
 class PlatformTest(unittest.TestCase):
 
@@ -124,25 +30,11 @@
             wait_for(node.ready, "node is ready")
 
     def ask(self, path, node=None, method="GET", body=None, deadline=1000):
-        request_id = uuid.uuid4().hex
-        reply = get((node or self.nodes[0]).callers, path, {
-            "Host": "h.example", "Request-Id": request_id,
-            "Deadline": str(deadline)}, method, body)
-        reply.id = request_id
-        return reply
+        return ask(node or self.nodes[0], path, method, body, deadline)
 
     def check_merged(self, reply):
-        """The body is the merge of exactly the parts that are named."""
         self.assertEqual(reply.status, 200)
-        parts = reply.headers["Part-Stamps"].split(", ")
-        services = [part.split(".")[0] for part in parts]
-        self.assertEqual(len(services), len(set(services)))
-        self.assertEqual(len(parts) + int(reply.headers["Missing-Parts"]),
-                         len(SHARDS))
-        records = [r for s in services
-                   for r in self.platform.replicas[s][0].records(reply.id)]
-        self.assertEqual(reply.body,
-                         b"".join(sorted(records, reverse=True)[:5]))
+        self.assertEqual(merge_problem(reply), "")
 
     def addresses(self, node):
         reply = get(node.directory, "/tanagervane/resolve?name=h.example")
--- a/lib/program/flags.cc
+++ b/lib/program/flags.cc
@@ -11,6 +11,7 @@
 #include "absl/flags/commandlineflag.h"
 #include "absl/flags/reflection.h"
 #include "fmt/format.h"
+#include "tanagervane/support/error.h"
 #include "tanagervane/support/log.h"
 
 namespace tanagervane {
@@ -128,6 +129,14 @@
   std::exit(kExitUsage);
 }
 
+int ReportError(std::string_view event, const absl::Status& status) {
+  const absl::string_view message = status.message();
+  LogEvent(event)
+      .Field("path", GetErrorPath(status))
+      .Field("reason", std::string_view(message.data(), message.size()));
+  return kExitRefused;
+}
+
 std::vector<std::string> SplitList(std::string_view text, char separator) {
   std::vector<std::string> parts;
   while (!text.empty()) {
--- a/tools/tanagervane-entry/main.cc
+++ b/tools/tanagervane-entry/main.cc
@@ -21,17 +21,6 @@
 namespace tanagervane {
 namespace {
 
-std::string ToText(absl::string_view text) {
-  return {text.data(), text.size()};
-}
-
-int ReportError(std::string_view event, const absl::Status& status) {
-  LogEvent(event)
-      .Field("path", GetErrorPath(status))
-      .Field("reason", ToText(status.message()));
-  return kExitRefused;
-}
-
 std::string Trim(std::string text) {
   while (!text.empty() && (text.back() == '\n' || text.back() == ' ')) {
     text.pop_back();
--- a/tools/tanagervane-node/main.cc
+++ b/tools/tanagervane-node/main.cc
@@ -31,14 +31,6 @@
 
 constexpr Millis kLogFlushPeriod{100};
 
-int ReportError(std::string_view event, const absl::Status& status) {
-  const auto message = status.message();
-  LogEvent(event)
-      .Field("path", GetErrorPath(status))
-      .Field("reason", std::string_view(message.data(), message.size()));
-  return kExitRefused;
-}
-
 std::string SettingsPath() {
   std::string flag = absl::GetFlag(FLAGS_settings);
   if (!flag.empty()) {
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -8,7 +8,6 @@
 #include "platform/caller_codec.h"
 #include "platform/object_codec.h"
 #include "platform/replica_codec.h"
-#include "platform/wire.h"
 #include "tanagervane/net/socket.h"
 #include "tanagervane/support/error.h"
 #include "tanagervane/support/log.h"
@@ -290,7 +289,7 @@
               }};
 }
 
-KindFollowerHooks Node::StoreHooks(std::string_view kind) {
+KindFollowerHooks Node::StoreHooks(StoreKind kind) {
   KindFollowerHooks hooks;
   hooks.list = [this, kind](std::string_view after,
                             KindFollowerHooks::PageDone done) {
@@ -310,7 +309,7 @@
 }
 
 KindFollowerHooks Node::ConfigHooks() {
-  KindFollowerHooks hooks = StoreHooks(wire::kConfigKind);
+  KindFollowerHooks hooks = StoreHooks(StoreKind::kConfig);
   hooks.snapshot = [this](const std::vector<StoreObject>& objects) {
     std::ranges::for_each(objects, [this](const StoreObject& object) {
       ApplyConfigObject(object);
@@ -327,7 +326,7 @@
 }
 
 KindFollowerHooks Node::ReplicaHooks() {
-  KindFollowerHooks hooks = StoreHooks(wire::kReplicaKind);
+  KindFollowerHooks hooks = StoreHooks(StoreKind::kReplicas);
   hooks.snapshot = [this](const std::vector<StoreObject>& objects) {
     ApplyReplicaList(objects);
   };
@@ -398,7 +397,7 @@
 }
 
 void Node::ApplyConfigObject(const StoreObject& object) {
-  if (object.name != wire::kConfigName) {
+  if (!IsConfiguration(object)) {
     return;
   }
   const auto config = DecodeConfig(object.content);
@@ -444,20 +443,20 @@
   UpdateState();
 }
 
-void Node::OnStoreReachable(std::string_view kind,
+void Node::OnStoreReachable(StoreKind kind,
                             bool reachable,
                             StoreResult result) {
   LogEvent(reachable ? "store_regained" : "store_lost")
-      .Field("kind", kind)
+      .Field("kind", ToString(kind))
       .Field("result", ToString(result));
-  if (kind == wire::kReplicaKind) {
+  if (kind == StoreKind::kReplicas) {
     m_replicas.SetStoreReachable(reachable, Poller::Now());
   }
 }
 
 void Node::RegisterVm() {
   const std::string body = EncodeVm(m_settings.id, m_settings.gossip_address);
-  m_store->Create(wire::kVmKind, body, [this, body](WriteResult result) {
+  m_store->Create(StoreKind::kVms, body, [this, body](WriteResult result) {
     if (m_stopping) {
       return;
     }
@@ -467,7 +466,7 @@
         return;
       case WriteResult::kConflict:
         // This VM's previous process left it; a no-op when the address stands.
-        m_store->Replace(wire::kVmKind, m_settings.id, body,
+        m_store->Replace(StoreKind::kVms, m_settings.id, body,
                          [this](WriteResult) { ListVms(); });
         return;
       case WriteResult::kNotFound:
@@ -484,7 +483,7 @@
     return;
   }
   const bool may_be_stale = m_registered_vms > 0;
-  m_store->List(wire::kVmKind, "", may_be_stale,
+  m_store->List(StoreKind::kVms, "", may_be_stale,
                 [this](StoreResult result, const StorePage& page) {
                   if (result != StoreResult::kOk) {
                     return;
@@ -571,7 +570,7 @@
   m_peers.SetState(PeerState::kLeaving);
   m_gossip.Announce(now);
   m_callers.CloseAfterResponses();
-  m_store->Delete(wire::kVmKind, m_settings.id, [](WriteResult) {});
+  m_store->Delete(StoreKind::kVms, m_settings.id, [](WriteResult) {});
   const Millis accept_until =
       m_settings.address_lifetime * kAddressLifetimes + kLeavingNews;
   m_loop.After(std::min(accept_until, m_settings.stop_grace * 0.6),
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -51,7 +51,7 @@
   HttpListenerHooks MetricsHooks();
   DispatcherHooks MakeDispatcherHooks();
   UdpGossipHooks GossipHooks();
-  KindFollowerHooks StoreHooks(std::string_view kind);
+  KindFollowerHooks StoreHooks(StoreKind kind);
   KindFollowerHooks ConfigHooks();
   KindFollowerHooks ReplicaHooks();
 
@@ -68,9 +68,7 @@
   void ApplyConfigObject(const StoreObject& object);
   void ApplyReplicaObject(const StoreObject& object);
   void ApplyReplicaList(const std::vector<StoreObject>& objects);
-  void OnStoreReachable(std::string_view kind,
-                        bool reachable,
-                        StoreResult result);
+  void OnStoreReachable(StoreKind kind, bool reachable, StoreResult result);
 
   // The fleet.
   void RegisterVm();
