Split the node's store and fleet part into a file of its own

Cause: node.cc held set-up, callers, replicas, store and membership in 596 lines.

Change: node_store.cc takes what a VM learns from the store and the other VMs; code motion, but for ApplyLimits, and the fleet's first size that now comes from OnMembershipChange as all later ones do.

--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "platform/caller_codec.h"
-#include "platform/object_codec.h"
 #include "platform/replica_codec.h"
 #include "tanagervane/net/socket.h"
 #include "tanagervane/support/error.h"
@@ -18,9 +17,7 @@
 
 constexpr Millis kSweepPeriod{100};
 
-/// A restarted VM reads the list of the others' addresses this often until the
-/// store answers, and now and then after that.
-constexpr Millis kRegisterRetry{500};
+/// The list of the other VMs' addresses is read again this often.
 constexpr Millis kListVmsPeriod{15'000};
 
 /// Changes of replicas that come together are read with one call. A replica
@@ -39,10 +36,6 @@
 /// Replicas that a request must crash before it is refused.
 constexpr size_t kCrashesToRefuse = 3;
 
-/// VMs assumed until gossip has told of the others.
-constexpr Millis kGossipWarmUp{1500};
-constexpr size_t kAssumedVms = 4;
-
 /// Descriptors that callers' connections leave free.
 constexpr size_t kReservedDescriptors = 300;
 constexpr size_t kCallerDescriptorPart = 2;
@@ -80,16 +73,6 @@
   return self;
 }
 
-void LogRejected(std::string_view event,
-                 std::string_view name,
-                 const absl::Status& status) {
-  const auto message = status.message();
-  LogEvent(event)
-      .Field("object", name)
-      .Field("path", GetErrorPath(status))
-      .Field("reason", std::string_view(message.data(), message.size()));
-}
-
 HttpResponseMessage PlainStatus(unsigned status) {
   HttpResponseMessage response;
   response.status = status;
@@ -170,7 +153,7 @@
   if (!status.ok()) {
     return status;
   }
-  m_replicas.SetFleet(kAssumedVms, m_settings.retries);
+  OnMembershipChange();
   m_store = std::make_unique<StoreClient>(m_poller, m_loop, *store);
   const uint64_t seed = m_peers.self().incarnation;
   m_config_follower = std::make_unique<KindFollower>(KindFollowerOptions{},
@@ -272,77 +255,13 @@
   return hooks;
 }
 
-UdpGossipHooks Node::GossipHooks() {
-  return {.membership = [this] { OnMembershipChange(); },
-          .fill =
-              [this](GossipMessage& message) {
-                message.config_change = m_config_follower->last_change();
-                message.replica_change = m_replica_follower->last_change();
-              },
-          .received =
-              [this](const GossipMessage& message) {
-                const Millis now = Poller::Now();
-                m_config_follower->OnRevisionElsewhere(message.config_change,
-                                                       now);
-                m_replica_follower->OnRevisionElsewhere(message.replica_change,
-                                                        now);
-              }};
-}
-
-KindFollowerHooks Node::StoreHooks(StoreKind kind) {
-  KindFollowerHooks hooks;
-  hooks.list = [this, kind](std::string_view after,
-                            KindFollowerHooks::PageDone done) {
-    m_store->List(kind, after, false, std::move(done));
-  };
-  hooks.watch = [this, kind](uint64_t revision,
-                             KindFollowerHooks::EventsDone done) {
-    m_store->Watch(kind, revision, std::move(done));
-  };
-  hooks.after = [this](Millis delay, std::function<void()> task) {
-    m_loop.After(delay, std::move(task));
-  };
-  hooks.reachable = [this, kind](bool reachable, StoreResult result) {
-    OnStoreReachable(kind, reachable, result);
-  };
-  return hooks;
-}
-
-KindFollowerHooks Node::ConfigHooks() {
-  KindFollowerHooks hooks = StoreHooks(StoreKind::kConfig);
-  hooks.snapshot = [this](const std::vector<StoreObject>& objects) {
-    std::ranges::for_each(objects, [this](const StoreObject& object) {
-      ApplyConfigObject(object);
-    });
-  };
-  hooks.changed = [this](const StoreObject& object) {
-    ApplyConfigObject(object);
-  };
-  hooks.removed = [](std::string_view name) {
-    // The last configuration stays in force.
-    LogEvent("config_object_removed").Field("object", name);
-  };
-  return hooks;
-}
-
-KindFollowerHooks Node::ReplicaHooks() {
-  KindFollowerHooks hooks = StoreHooks(StoreKind::kReplicas);
-  hooks.snapshot = [this](const std::vector<StoreObject>& objects) {
-    ApplyReplicaList(objects);
-  };
-  hooks.changed = [this](const StoreObject& object) {
-    ApplyReplicaObject(object);
-  };
-  hooks.removed = [this](std::string_view name) {
-    m_replicas.Remove(name, Poller::Now());
-  };
-  return hooks;
-}
-
 void Node::OnCallerRequest(ExchangeId exchange, HttpRequestMessage message) {
   auto decoded = DecodeCallerRequest(std::move(message));
   if (!decoded.ok()) {
-    LogRejected("request_invalid", "", decoded.status());
+    const auto reason = decoded.status().message();
+    LogEvent("request_invalid")
+        .Field("path", GetErrorPath(decoded.status()))
+        .Field("reason", std::string_view(reason.data(), reason.size()));
     m_callers.Respond(exchange, EncodeRejection(decoded.status()));
     return;
   }
@@ -352,6 +271,10 @@
   UpdateAlarm();
 }
 
+void Node::ApplyLimits(const CallerLimits& limits) {
+  m_callers.SetOptions(CallerOptions(m_settings, limits));
+}
+
 void Node::OnAnswer(const FinalAnswer& answer) {
   const auto node = m_request_ids.extract(answer.key);
   if (!node.empty()) {
@@ -396,126 +319,6 @@
   m_dispatcher.OnProbe(replica, healthy, Poller::Now());
 }
 
-void Node::ApplyConfigObject(const StoreObject& object) {
-  if (!IsConfiguration(object)) {
-    return;
-  }
-  const auto config = DecodeConfig(object.content);
-  if (!config.ok()) {
-    LogRejected("config_invalid", object.name, config.status());
-    return;
-  }
-  if (!m_dispatcher.ApplyConfig(*config)) {
-    return;
-  }
-  LogEvent("config_in_force")
-      .Field("version", config->version)
-      .Field("revision", object.revision)
-      .Field("routes", config->routes.size())
-      .Field("services", config->services.size());
-  m_callers.SetOptions(CallerOptions(m_settings, config->limits));
-  m_peers.SetDocumentRevision(config->version);
-  UpdateState();
-}
-
-void Node::ApplyReplicaObject(const StoreObject& object) {
-  const Millis now = Poller::Now();
-  const auto entry = DecodeReplica(object.name, object.content);
-  if (entry.ok()) {
-    m_replicas.Apply(*entry, now);
-    return;
-  }
-  LogRejected("replica_entry_invalid", object.name, entry.status());
-  m_replicas.Remove(object.name, now);
-}
-
-void Node::ApplyReplicaList(const std::vector<StoreObject>& objects) {
-  std::vector<ReplicaEntry> entries;
-  for (const StoreObject& object : objects) {
-    auto entry = DecodeReplica(object.name, object.content);
-    if (entry.ok()) {
-      entries.push_back(*std::move(entry));
-    } else {
-      LogRejected("replica_entry_invalid", object.name, entry.status());
-    }
-  }
-  m_replicas.ApplyList(entries, Poller::Now());
-  UpdateState();
-}
-
-void Node::OnStoreReachable(StoreKind kind,
-                            bool reachable,
-                            StoreResult result) {
-  LogEvent(reachable ? "store_regained" : "store_lost")
-      .Field("kind", ToString(kind))
-      .Field("result", ToString(result));
-  if (kind == StoreKind::kReplicas) {
-    m_replicas.SetStoreReachable(reachable, Poller::Now());
-  }
-}
-
-void Node::RegisterVm() {
-  const std::string body = EncodeVm(m_settings.id, m_settings.gossip_address);
-  m_store->Create(StoreKind::kVms, body, [this, body](WriteResult result) {
-    if (m_stopping) {
-      return;
-    }
-    switch (result) {
-      case WriteResult::kDone:
-        ListVms();
-        return;
-      case WriteResult::kConflict:
-        // This VM's previous process left it; a no-op when the address stands.
-        m_store->Replace(StoreKind::kVms, m_settings.id, body,
-                         [this](WriteResult) { ListVms(); });
-        return;
-      case WriteResult::kNotFound:
-      case WriteResult::kRefused:
-      case WriteResult::kUnknown:
-        LogEvent("vm_registration_failed").Field("retry", true);
-        m_loop.After(kRegisterRetry, [this] { RegisterVm(); });
-    }
-  });
-}
-
-void Node::ListVms() {
-  if (m_stopping) {
-    return;
-  }
-  const bool may_be_stale = m_registered_vms > 0;
-  m_store->List(StoreKind::kVms, "", may_be_stale,
-                [this](StoreResult result, const StorePage& page) {
-                  if (result != StoreResult::kOk) {
-                    return;
-                  }
-                  std::vector<std::string> addresses;
-                  for (const StoreObject& object : page.objects) {
-                    auto address = DecodeVm(object.content);
-                    if (!address.ok()) {
-                      LogRejected("vm_entry_invalid", object.name,
-                                  address.status());
-                    } else if (object.name != m_settings.id) {
-                      addresses.push_back(*std::move(address));
-                    }
-                  }
-                  m_registered_vms = page.objects.size();
-                  m_peers.SetSeeds(std::move(addresses));
-                  m_gossip.Announce(Poller::Now());
-                });
-}
-
-void Node::OnMembershipChange() {
-  const Millis now = Poller::Now();
-  size_t vms = 1;
-  for (const PeerTable::Peer& peer : m_peers.Peers(now)) {
-    vms += peer.liveness != Liveness::kDead ? 1 : 0;
-  }
-  if (now - m_started_at < kGossipWarmUp) {
-    vms = std::max({vms, kAssumedVms, m_registered_vms});
-  }
-  m_replicas.SetFleet(vms, m_settings.retries);
-}
-
 bool Node::IsReady() const {
   return !m_stopping && m_dispatcher.plan() != nullptr && m_replica_follower &&
          m_replica_follower->has_snapshot();
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -57,6 +57,7 @@
 
   // Callers.
   void OnCallerRequest(ExchangeId exchange, HttpRequestMessage message);
+  void ApplyLimits(const CallerLimits& limits);
   void OnAnswer(const FinalAnswer& answer);
   void AnswerAddresses(ExchangeId exchange);
 
