Serve counters of sends, connections, store calls and the configuration

Cause: the metrics address showed requests only; on-call engineers need what the tier itself does.

Change: the counters of dispatcher, connections and store client and a few gauges are copied into the registry when it is read. test_metrics_and_reload asks for them and failed first.

Measured: test_metrics_and_reload passed; nothing on the request path changed.

--- a/integration/test_platform.py
+++ b/integration/test_platform.py
@@ -177,7 +177,9 @@
         that ends the process."""
         self.ask("/all/x")
         metrics = get("%s:%d" % (self.nodes[0].ip, BASE_PORT + 6), "/metrics")
-        self.assertIn(b"tanagervane_requests_total", metrics.body)
+        for name in (b"requests_total", b"sends_total", b"store_calls_total",
+                     b"config_version 3"):
+            self.assertIn(b"tanagervane_" + name, metrics.body)
         self.nodes[0].process.send_signal(signal.SIGHUP)
         wait_for(lambda: "event=settings_reloaded" in self.nodes[0].log(),
                  "reload is logged")
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -214,6 +214,7 @@
                 HttpResponseMessage response = PlainStatus(200);
                 response.fields.Add("Content-Type",
                                     "text/plain; version=0.0.4");
+                UpdateMetrics();
                 response.body = m_request_log.metrics().Render();
                 m_metrics_listener.Respond(exchange, response);
               },
@@ -334,6 +335,42 @@
   }
 }
 
+void Node::UpdateMetrics() {
+  MetricsRegistry& metrics = m_request_log.metrics();
+  const auto total = [&](std::string_view name, std::string_view help,
+                         uint64_t value) {
+    metrics.GetCounter(name, help).RaiseTo(value);
+  };
+  const DispatcherStats& sends = m_dispatcher.stats();
+  total("tanagervane_sends_total", "Sends to replicas.", sends.sends);
+  total("tanagervane_hedges_total", "Sends while an earlier one was open.",
+        sends.hedges);
+  total("tanagervane_retries_total", "Sends after an earlier one failed.",
+        sends.retries);
+  total("tanagervane_abandoned_total", "Sends broken off.", sends.abandoned);
+  total("tanagervane_health_probes_total", "Health probes.", sends.probes);
+  total("tanagervane_replica_connections_total",
+        "Connections opened to replicas.", m_connections.stats().opened);
+  total("tanagervane_store_calls_total", "Calls to the platform's store.",
+        m_store->stats().calls);
+  total("tanagervane_store_failures_total", "Calls without an answer.",
+        m_store->stats().failures);
+  const auto level = [&](std::string_view name, std::string_view help,
+                         double value) {
+    metrics.GetGauge(name, help).Set(value);
+  };
+  level("tanagervane_running_requests", "Requests without an answer.",
+        static_cast<double>(m_dispatcher.running()));
+  level("tanagervane_caller_connections", "Open connections of callers.",
+        static_cast<double>(m_callers.stats().connections));
+  level("tanagervane_open_replica_connections", "Open connections to replicas.",
+        static_cast<double>(m_connections.stats().open));
+  level("tanagervane_replicas", "Known replicas.",
+        static_cast<double>(m_replicas.size()));
+  level("tanagervane_config_version", "Version of the configuration in force.",
+        static_cast<double>(m_peers.self().document_revision));
+}
+
 void Node::Sweep() {
   const Millis now = Poller::Now();
   m_callers.Sweep();
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -78,6 +78,9 @@
   void UpdateState();
   bool IsReady() const;
 
+  /// Copies the figures of the parts into the metrics.
+  void UpdateMetrics();
+
   // Time.
   void Sweep();
   void UpdateAlarm();
