Remove dead members of the serving core; pass a mutable replica to the belief hook

ServingReplica::shed_at and Attempt::idempotent were written and never read, RetryAllowance::Remaining and LatencyWindow::measured had no caller, a comment gave the finished hook the wrong order, and the node cast const away to drop a replica's connections.

Change: these are gone; the belief hook takes the replica as it is changed. No behaviour changes.

--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -47,12 +47,12 @@
   std::function<void(uint64_t attempt, ServingReplica& replica)> abandon;
   /// Called once for each request whose caller has not gone.
   std::function<void(const FinalAnswer&)> answer;
-  /// Called once for each request, after its answer.
+  /// Called once for each request, before its answer.
   std::function<void(const RequestReport&)> finished;
   /// Asks a replica for its health.
   std::function<void(const std::shared_ptr<ServingReplica>&)> probe;
   /// A replica became unresponsive, or answers again.
-  std::function<void(const ServingReplica&, std::string_view reason)> belief;
+  std::function<void(ServingReplica&, std::string_view reason)> belief;
 };
 
 struct DispatcherStats {
@@ -158,7 +158,6 @@
     std::shared_ptr<RouteStats> stats;
     Fingerprint fingerprint = 0;
     Millis sent;
-    bool idempotent = true;
     /// Its request has ended; it is abandoned at this time.
     std::optional<Millis> abandon_at;
   };
--- a/include/tanagervane/serving/latency_window.h
+++ b/include/tanagervane/serving/latency_window.h
@@ -23,7 +23,6 @@
   Millis median() const { return m_median; }
   /// The latency that 9 in 10 do not exceed.
   Millis high() const { return m_high; }
-  bool measured() const { return m_count >= kMeasuredFrom; }
 
  private:
   static constexpr size_t kSize = 128;
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -74,8 +74,6 @@
   std::optional<LoadReport> load;
   Millis load_at;
   size_t own_at_report = 0;
-  /// Last time it refused a request as full.
-  std::optional<Millis> shed_at;
 
   /// The latest send time among answered attempts, and the time of the latest
   /// answer.
--- a/include/tanagervane/serving/retry_allowance.h
+++ b/include/tanagervane/serving/retry_allowance.h
@@ -39,9 +39,6 @@
   /// Counts an extra send and returns true when the allowance covers it.
   bool TryTake(ExtraSend kind, Millis now);
 
-  /// Extra sends left in the current window.
-  double Remaining(Millis now);
-
  private:
   static constexpr size_t kBuckets = 10;
 
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -330,7 +330,6 @@
   attempt.stats = request.route->stats;
   attempt.fingerprint = request.fingerprint;
   attempt.sent = now;
-  attempt.idempotent = request.route->spec.idempotent;
   m_attempts[id] = std::move(attempt);
   replica->attempts.push_back(id);
   if (!replica->unanswered_since) {
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -96,9 +96,6 @@
     attempt.stats->attempts.Record(latency);
     m_quarantine.OnSuccess(attempt.fingerprint);
   }
-  if (reply.kind == ReplyKind::kRejected) {
-    replica.shed_at = now;
-  }
 }
 
 void Dispatcher::OnReply(uint64_t id, ReplicaReply reply, Millis now) {
--- a/lib/serving/retry_allowance.cc
+++ b/lib/serving/retry_allowance.cc
@@ -63,11 +63,6 @@
          m_limits.slack * kSlackUsed * m_share;
 }
 
-double RetryAllowance::Remaining(Millis now) {
-  Advance(now);
-  return std::max(0.0, Permitted() - ExtrasUsed());
-}
-
 bool RetryAllowance::TryTake(ExtraSend kind, Millis now) {
   Advance(now);
   const double part = kind == ExtraSend::kHedge ? kHedgePart : 1.0;
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -239,8 +239,7 @@
     m_connections.Start(exchange, replica, EncodeHealthQuestion(*replica),
                         true);
   };
-  hooks.belief = [this](const ServingReplica& replica,
-                        std::string_view reason) {
+  hooks.belief = [this](ServingReplica& replica, std::string_view reason) {
     LogEvent("replica_belief")
         .Field("replica", replica.entry.id)
         .Field("service", replica.entry.service)
@@ -250,7 +249,7 @@
                (Poller::Now() - replica.answered_at).count());
     if (replica.unresponsive) {
       // Other connections to it may be dead as well.
-      m_connections.DropIdle(const_cast<ServingReplica&>(replica));
+      m_connections.DropIdle(replica);
     }
   };
   return hooks;
--- a/unittests/serving/dispatcher_harness.h
+++ b/unittests/serving/dispatcher_harness.h
@@ -149,7 +149,7 @@
     hooks.probe = [this](const std::shared_ptr<ServingReplica>& replica) {
       probes.push_back(replica);
     };
-    hooks.belief = [](const ServingReplica&, std::string_view) {};
+    hooks.belief = [](ServingReplica&, std::string_view) {};
     return hooks;
   }
 };
