--- a/lib/routing/replica_selector.cc
+++ b/lib/routing/replica_selector.cc
@@ -126,19 +126,28 @@
   const auto eligible = [&](const Replica& replica) {
     return m_table.IsEligible(replica, now);
   };
+  const auto overdue = [&](const Replica& replica) {
+    return m_table.IsMerelyOverdue(replica, now);
+  };
   if (collect([&](const Replica& r) { return eligible(r) && has_room(r); }) ||
       (request.allow_over_limit && collect(eligible))) {
     return;
   }
+  if (request.allow_over_limit) {
+    // Without one of these the shard would be missing, so a replica that is
+    // late, or late and full, is better than none.
+    if (!collect([&](const Replica& r) { return overdue(r) && has_room(r); })) {
+      collect(overdue);
+    }
+    return;
+  }
   if (std::ranges::any_of(holders,
                           [&](const Replica* r) { return eligible(*r); })) {
     return;
   }
   // All holders overdue at once point to this entry or to overload rather
   // than to each of them, so they stay in use.
-  collect([&](const Replica& r) {
-    return m_table.IsMerelyOverdue(r, now) && has_room(r);
-  });
+  collect([&](const Replica& r) { return overdue(r) && has_room(r); });
 }
 
 const Replica* ReplicaSelector::Choose(const PickRequest& request, Millis now) {
--- a/unittests/routing/replica_selector_test.cc
+++ b/unittests/routing/replica_selector_test.cc
@@ -136,6 +136,27 @@
   EXPECT_EQ(f.selector.Capacity("index", 1, 0, t).limit, 0U);
 }
 
+// Guards against a shard that is reported without a replica although a slow one
+// lives: a first attempt or a retry has no better choice left.
+TEST(ReplicaSelectorTest, SlowReplicaIsTakenBeforeAShardIsGivenUp) {
+  SelectorFixture f;
+  f.Add("slow", Millis(4));
+  f.Add("tried", Millis(4));
+  for (int i = 0; i < 4; ++i) {
+    f.Send("slow", Millis(0));
+  }
+  const Millis t(30);
+  ASSERT_FALSE(f.Eligible("slow", t));
+  ASSERT_TRUE(f.Eligible("tried", t));
+  const std::vector<ReplicaId> exclude = {"tried"};
+  EXPECT_EQ(f.Pick(t, exclude), "") << "a hedge does not go to a slow replica";
+  EXPECT_EQ(f.selector.Pick({"index", 1, 0, exclude, true}, t), "slow");
+  // The same when no replica is eligible and the slow one is at its limit.
+  f.table.OnFailure("tried", f.Send("tried", t), FailureKind::kConnectFailed,
+                    t);
+  EXPECT_EQ(f.selector.Pick({"index", 1, 0, exclude, true}, t), "slow");
+}
+
 // Guards against a replica that must not be chosen: excluded, leaving,
 // starting, or full.
 RC_GTEST_PROP(ReplicaSelectorProperty, PicksOnlyWhatIsAllowed, ()) {
