Keep replicas through unnoticed lapses; await the answer of a paused replica

- A silent outage of the store ends before a watch of 15 s fails, so the VM sees only that all entries vanish.
It retired every replica, refused with no_replica for a second, and opened all connections anew.
An entry that was not draining is now taken as lapsed: its replica is a second choice and ends 0.8 s before the drain bound, 2.2 s at the latest.
- A replica that pauses for 250 ms was hedged, its attempts were broken off after 112 ms, nobody asked it again, and 0.6 s later it counted as silent and was probed over a new connection: 11 times a second over the fleet in calm times.
The oldest attempt on an overdue replica now runs on to 550 ms, unless its caller has gone.
- A replica at its connection limit resets new connections.
It now gets no new connection for 250 ms after such a reset.

A process that knows no configuration asks callers back after 50 ms in place of 500: another VM serves, or this one will.

Ruled out: shorter watches, which notice an outage sooner but are priced calls at rest. The new tests fail with each mechanism switched off.

--- a/include/tanagervane/net/http_connection.h
+++ b/include/tanagervane/net/http_connection.h
@@ -22,6 +22,7 @@
 enum class ExchangeError {
   kNotConnected,  ///< The connection never stood: nothing was sent.
   kBroken,        ///< It broke after the request may have been sent.
+  kNewBroken,     ///< The same, before any byte came on the connection.
   kInvalid,       ///< The peer sent bytes that are no response.
 };
 
@@ -69,15 +70,13 @@
   /// True when the TCP handshake has ended well.
   bool connected() const { return m_connected; }
 
-  /// Requests sent so far.
-  uint32_t exchanges() const { return m_exchanges; }
-
  private:
   void OnEvents(uint32_t events);
   void Read();
   void ReadEnd();
   void Parse();
   void Write();
+  ExchangeError LossError() const;
   void Fail(ExchangeError error);
   void CloseIdle();
   void Finish(ExchangeResult result);
@@ -90,7 +89,7 @@
   uint32_t m_events = 0;
   bool m_connected = false;
   bool m_reusable = true;
-  uint32_t m_exchanges = 0;
+  bool m_received = false;
   std::string m_output;
   std::string m_input;
   std::unique_ptr<HttpResponseReader> m_reader;
--- a/include/tanagervane/routing/types.h
+++ b/include/tanagervane/routing/types.h
@@ -21,9 +21,10 @@
   kVersionGone,     ///< The server does not hold the index version.
   kConnectFailed,   ///< Never sent.
   kConnectionLost,  ///< The connection broke while the attempt was in flight.
-  kTimedOut,        ///< No reply within the attempt's deadline.
-  kServerError,     ///< The server ran it and reports an error.
-  kCorruptReply,    ///< The reply does not match the attempt or its checksum.
+  kNewConnectionLost,  ///< The same, before any reply on the connection.
+  kTimedOut,           ///< No reply within the attempt's deadline.
+  kServerError,        ///< The server ran it and reports an error.
+  kCorruptReply,  ///< The reply does not match the attempt or its checksum.
 };
 
 /// True when the failure proves that the attempt did not run.
--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -160,6 +160,7 @@
     Millis sent;
     /// Its request has ended; it is abandoned at this time.
     std::optional<Millis> abandon_at;
+    bool caller_gone = false;
   };
 
   // Admission.
@@ -207,6 +208,9 @@
   /// How long attempts run on after the request has ended.
   static Millis OrphanGrace(const Request& request);
   void OrphanAttempt(uint64_t id, Millis abandon_at);
+  /// Whether the attempt's answer would be the first sign that its overdue
+  /// replica works again.
+  static bool ShowsRecovery(const Attempt& attempt, uint64_t id);
   void LearnFromReply(Attempt& attempt, const ReplicaReply& reply, Millis now);
   void HandleReply(Request& request,
                    Part& part,
--- a/include/tanagervane/serving/replica_chooser.h
+++ b/include/tanagervane/serving/replica_chooser.h
@@ -38,8 +38,9 @@
   /// Whether the replica may get a request at all.
   static bool IsUsable(const ServingReplica& replica);
 
-  /// True when all attempts that this VM may have there are in flight.
-  static bool IsFull(const ServingReplica& replica);
+  /// True when no attempt can be sent now: all that this VM may have there are
+  /// in flight, or it would need a new connection and the replica takes none.
+  static bool IsFull(const ServingReplica& replica, Millis now);
 
   /// `usual` is the usual latency of an attempt of the route.
   ExpectedTime Expect(const ServingReplica& replica,
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -55,7 +55,7 @@
   Service* service = nullptr;
   /// Gets no new requests, for good.
   bool leaving = false;
-  /// When its entry vanished while the store was disturbed: it stays in use
+  /// When its entry vanished without a word that it leaves: it stays in use
   /// for a while, because the entry may come back.
   std::optional<Millis> lapsed_at;
   Millis warm_until;
@@ -64,6 +64,9 @@
   std::vector<uint64_t> attempts;
   /// Connections that stand ready.
   uint32_t idle_connections = 0;
+  /// Until then no connection is opened: a new one was reset, as a replica at
+  /// its connection limit does.
+  Millis no_connect_until;
 
   /// Latency relative to the usual one of the route, and when it was learnt.
   double slowness = 1;
@@ -130,14 +133,18 @@
   /// Takes one entry: a new replica, a new incarnation or a change.
   void Apply(const ReplicaEntry& entry, Millis now);
 
-  /// An entry is gone from the store.
+  /// Sets how long a replica serves on after its entry has been removed.
+  void SetDrainBound(Millis bound) { m_drain_bound = bound; }
+
+  /// An entry is gone from the store. The store may have been away without
+  /// this VM noticing, so an entry that was not draining may have lapsed.
   void Remove(std::string_view id, Millis now);
 
   /// Takes the full list: what it does not hold is gone.
   void ApplyList(std::span<const ReplicaEntry> entries, Millis now);
 
-  /// Tells whether the store answers. Entries that vanish while it does not,
-  /// or soon after, may have lapsed although their replica lives.
+  /// Tells whether the store answers. While it does not, and soon after, no
+  /// lapsed entry ends the use of its replica early.
   void SetStoreReachable(bool reachable, Millis now);
 
   /// Retires replicas whose lapsed entries did not come back.
@@ -154,6 +161,7 @@
   void Add(const ReplicaEntry& entry, Millis now);
   void Retire(Replicas::iterator it, std::string_view reason);
   bool StoreDisturbed(Millis now) const;
+  Millis LapseGrace(Millis now) const;
   void ShareOut(Service& service) const;
 
   ReplicaSetHooks m_hooks;
@@ -161,6 +169,7 @@
   Replicas m_replicas;
   size_t m_vms = 1;
   RetryLimits m_retry_limits;
+  Millis m_drain_bound{3000};
   bool m_store_reachable = true;
   std::optional<Millis> m_store_back_at;
 };
--- a/lib/net/http_connection.cc
+++ b/lib/net/http_connection.cc
@@ -52,7 +52,6 @@
                           BelongsHook belongs,
                           Done done) {
   assert(!m_done && !failed() && "one request at a time");
-  ++m_exchanges;
   m_output = std::move(bytes);
   m_head = head;
   m_belongs = std::move(belongs);
@@ -120,13 +119,14 @@
     return;
   }
   if (count < 0) {
-    Fail(ExchangeError::kBroken);
+    Fail(LossError());
     return;
   }
   if (count == 0) {
     ReadEnd();
     return;
   }
+  m_received = true;
   m_input.append(bytes.data(), static_cast<size_t>(count));
   Parse();
 }
@@ -134,7 +134,7 @@
 void HttpConnection::ReadEnd() {
   m_reusable = false;
   if (m_reader->FeedEnd() != ReadState::kComplete) {
-    Fail(ExchangeError::kBroken);
+    Fail(LossError());
     return;
   }
   HttpResponseMessage response = m_reader->Take();
@@ -171,6 +171,10 @@
   }
 }
 
+ExchangeError HttpConnection::LossError() const {
+  return m_received ? ExchangeError::kBroken : ExchangeError::kNewBroken;
+}
+
 void HttpConnection::Fail(ExchangeError error) {
   if (!m_done) {
     CloseIdle();
--- a/lib/query/fanout.cc
+++ b/lib/query/fanout.cc
@@ -53,6 +53,7 @@
     case FailureKind::kConnectFailed:
       return "attempt failed: connect failed";
     case FailureKind::kConnectionLost:
+    case FailureKind::kNewConnectionLost:
       return "attempt failed: connection lost";
     case FailureKind::kTimedOut:
       return "attempt failed: timed out";
@@ -76,6 +77,7 @@
     case FailureKind::kTimedOut:
       return MissingReason::kTimedOut;
     case FailureKind::kConnectionLost:
+    case FailureKind::kNewConnectionLost:
     case FailureKind::kServerError:
     case FailureKind::kCorruptReply:
       break;
--- a/lib/routing/replica_table.cc
+++ b/lib/routing/replica_table.cc
@@ -341,6 +341,7 @@
       break;
     case FailureKind::kConnectFailed:
     case FailureKind::kConnectionLost:
+    case FailureKind::kNewConnectionLost:
       // All attempts on a connection fail together: one event, one step.
       if (replica->avoid_until > now) {
         return;
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -45,7 +45,8 @@
 
 /// Callers told to come back sooner would meet the same replicas.
 constexpr Millis kNoReplicaRetryAfter{400};
-constexpr Millis kNoConfigRetryAfter{500};
+/// Another VM knows the configuration, or this one soon will.
+constexpr Millis kNoConfigRetryAfter{50};
 constexpr Millis kShortRetryAfter{60};
 constexpr Millis kQuarantineRetryAfter{60'000};
 
@@ -253,7 +254,7 @@
     const bool has_full =
         std::ranges::any_of(part.service->replicas, [&](const auto& candidate) {
           return ReplicaChooser::IsUsable(*candidate) &&
-                 ReplicaChooser::IsFull(*candidate) &&
+                 ReplicaChooser::IsFull(*candidate, now) &&
                  std::ranges::find(part.tried, candidate.get()) ==
                      part.tried.end();
         });
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -18,12 +18,20 @@
 constexpr Millis kShortestOrphanGrace{60};
 constexpr Millis kLongestOrphanGrace{600};
 
+/// The oldest attempt on a replica that owes an overdue answer runs on until it
+/// has this age: its answer shows that the replica works again. Less than the
+/// silence limit, after which health probes take over.
+constexpr Millis kOverdueAttemptAge{550};
+
 /// The same after the caller has gone.
 constexpr Millis kGoneGrace{150};
 
 /// A request that must not be repeated is not broken off before its time.
 constexpr Millis kUnrepeatableGrace{500};
 
+/// After a new connection was reset, its replica gets no other for this long.
+constexpr Millis kConnectPause{250};
+
 /// Time between the health probes of an unresponsive replica.
 constexpr Millis kProbePeriod{500};
 
@@ -42,6 +50,11 @@
   }
 }
 
+bool IsConnectionLoss(FailureKind kind) {
+  return kind == FailureKind::kConnectionLost ||
+         kind == FailureKind::kNewConnectionLost;
+}
+
 }  // namespace
 
 std::optional<Dispatcher::Attempt> Dispatcher::TakeAttempt(uint64_t id) {
@@ -168,7 +181,10 @@
   const bool never_sent = kind == FailureKind::kConnectFailed;
   if (never_sent) {
     MarkUnresponsive(replica, "connect_failed", now);
-  } else if (kind == FailureKind::kConnectionLost) {
+  } else if (IsConnectionLoss(kind)) {
+    if (kind == FailureKind::kNewConnectionLost) {
+      replica.no_connect_until = now + kConnectPause;
+    }
     replica.broke = true;
     const Quarantine::InFlight lost{attempt->fingerprint, attempt->sent};
     m_quarantine.OnReplicaLost(replica.key, {&lost, 1}, now);
@@ -203,10 +219,22 @@
   m_abandon_timers.emplace(abandon_at.count(), id);
 }
 
+bool Dispatcher::ShowsRecovery(const Attempt& attempt, uint64_t id) {
+  const ServingReplica& replica = *attempt.replica;
+  return replica.overdue && !attempt.caller_gone &&
+         replica.attempts.front() == id && replica.answered_sent < attempt.sent;
+}
+
 void Dispatcher::AbandonDue(Millis now) {
   while (!m_abandon_timers.empty() &&
          m_abandon_timers.begin()->first <= now.count()) {
     const uint64_t id = m_abandon_timers.begin()->second;
+    Attempt& due = m_attempts.at(id);
+    if (now < due.sent + kOverdueAttemptAge && ShowsRecovery(due, id)) {
+      m_abandon_timers.erase(m_abandon_timers.begin());
+      OrphanAttempt(id, due.sent + kOverdueAttemptAge);
+      continue;
+    }
     const auto attempt = TakeAttempt(id);
     assert(attempt && "an abandon timer without its attempt");
     ++m_stats.abandoned;
@@ -305,6 +333,7 @@
   }
   for (Part& part : request.parts) {
     for (const uint64_t id : std::exchange(part.open, {})) {
+      m_attempts.at(id).caller_gone = caller_gone;
       OrphanAttempt(id, abandon_at);
     }
   }
--- a/lib/serving/replica_chooser.cc
+++ b/lib/serving/replica_chooser.cc
@@ -35,6 +35,9 @@
 /// Extra cost of a replica that owes an overdue answer, likewise.
 constexpr double kOverdueCost = 4;
 
+/// Extra cost of a replica whose entry is gone, likewise: it may be leaving.
+constexpr double kLapsedCost = 2;
+
 /// Cost of a busy slot, likewise: spreads load before replicas are full.
 constexpr double kContentionCost = 0.15;
 
@@ -63,8 +66,9 @@
   return !replica.leaving && !replica.unresponsive;
 }
 
-bool ReplicaChooser::IsFull(const ServingReplica& replica) {
-  return replica.attempts.size() >= replica.service->connection_cap;
+bool ReplicaChooser::IsFull(const ServingReplica& replica, Millis now) {
+  return replica.attempts.size() >= replica.service->connection_cap ||
+         (replica.idle_connections == 0 && now < replica.no_connect_until);
 }
 
 double ReplicaChooser::Slowness(const ServingReplica& replica,
@@ -106,6 +110,9 @@
   if (replica.overdue) {
     expected.total += usual * kOverdueCost;
   }
+  if (replica.lapsed_at) {
+    expected.total += usual * kLapsedCost;
+  }
   if (replica.idle_connections == 0) {
     expected.total += kConnectCost;
   }
@@ -123,7 +130,7 @@
   std::shared_ptr<ServingReplica> best;
   double best_cost = 0;
   for (const auto& replica : service.replicas) {
-    if (!IsUsable(*replica) || IsFull(*replica) ||
+    if (!IsUsable(*replica) || IsFull(*replica, now) ||
         std::ranges::find(exclude, replica.get()) != exclude.end()) {
       continue;
     }
--- a/lib/serving/replica_set.cc
+++ b/lib/serving/replica_set.cc
@@ -16,6 +16,9 @@
 /// within two seconds of its return.
 constexpr Millis kLapsedGrace{2200};
 
+/// How long a removal takes to reach this VM and to take effect here.
+constexpr Millis kRemovalDelay{800};
+
 /// How long after the store's return vanished entries count as lapsed.
 constexpr Millis kDisturbedAfterReturn{2500};
 
@@ -119,13 +122,13 @@
   if (it == m_replicas.end()) {
     return;
   }
-  if (StoreDisturbed(now) && !it->second->leaving) {
-    if (!it->second->lapsed_at) {
-      it->second->lapsed_at = now;
-    }
+  if (it->second->leaving) {
+    Retire(it, "entry_removed");
     return;
   }
-  Retire(it, "entry_removed");
+  if (!it->second->lapsed_at) {
+    it->second->lapsed_at = now;
+  }
 }
 
 void ReplicaSet::ApplyList(std::span<const ReplicaEntry> entries, Millis now) {
@@ -150,6 +153,13 @@
          (m_store_back_at && now - *m_store_back_at < kDisturbedAfterReturn);
 }
 
+Millis ReplicaSet::LapseGrace(Millis now) const {
+  if (StoreDisturbed(now)) {
+    return kLapsedGrace;
+  }
+  return std::clamp(m_drain_bound - kRemovalDelay, Millis(0), kLapsedGrace);
+}
+
 void ReplicaSet::SetStoreReachable(bool reachable, Millis now) {
   if (reachable && !m_store_reachable) {
     m_store_back_at = now;
@@ -158,10 +168,11 @@
 }
 
 void ReplicaSet::Sweep(Millis now) {
+  const Millis grace = LapseGrace(now);
   std::vector<std::string> gone;
   for (const auto& [id, replica] : m_replicas) {
     if (replica->lapsed_at && m_store_reachable &&
-        now - *replica->lapsed_at >= kLapsedGrace) {
+        now - *replica->lapsed_at >= grace) {
       gone.push_back(id);
     }
   }
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -85,6 +85,8 @@
       return FailureKind::kConnectFailed;
     case ExchangeError::kInvalid:
       return FailureKind::kCorruptReply;
+    case ExchangeError::kNewBroken:
+      return FailureKind::kNewConnectionLost;
     case ExchangeError::kBroken:
       break;
   }
@@ -153,6 +155,7 @@
   if (!status.ok()) {
     return status;
   }
+  m_replicas.SetDrainBound(m_settings.drain_bound);
   OnMembershipChange();
   m_store = std::make_unique<StoreClient>(m_poller, m_loop, *store);
   const uint64_t seed = m_peers.self().incarnation;
@@ -390,6 +393,7 @@
 
 void Node::Reload(const NodeSettings& settings) {
   m_settings.retries = settings.retries;
+  m_replicas.SetDrainBound(settings.drain_bound);
   m_settings.stop_grace = settings.stop_grace;
   m_settings.address_lifetime = settings.address_lifetime;
   OnMembershipChange();
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -43,6 +43,8 @@
   settings.retries.ratio = bounds.NumberOr("retry_ratio", 0.2, 0);
   settings.retries.slack = bounds.NumberOr("retry_slack", 0, 0);
   settings.retries.window = ReadSeconds(bounds, "retry_window_s", 10);
+  settings.drain_bound =
+      Millis(bounds.NumberOr("drain_ms", settings.drain_bound.count(), 0));
   json.Adopt(bounds.Finish());
 }
 
--- a/tools/tanagervane-node/settings.h
+++ b/tools/tanagervane-node/settings.h
@@ -36,6 +36,8 @@
   /// Kept free before the objective for the way back to the caller.
   Millis answer_margin{15};
   RetryLimits retries;
+  /// How long a replica serves on after its entry has been removed.
+  Millis drain_bound{3000};
   ServingPolicy policy;
 };
 
--- a/unittests/net/loopback_test.cc
+++ b/unittests/net/loopback_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -206,6 +207,35 @@
   EXPECT_EQ(error, ExchangeError::kNotConnected);
 }
 
+// Guards against a peer at its connection limit, which ends new connections,
+// being taken for one that failed under a request, and the other way round.
+TEST_F(LoopbackTest, LossOfANewConnectionIsToldApart) {
+  const auto connection = Connect();
+  std::vector<std::optional<ExchangeError>> errors;
+  const auto send = [&] {
+    connection->Send(
+        std::string(kGet), false, Any,
+        [&](const ExchangeResult& result) { errors.push_back(result.error); });
+  };
+  m_answer_at_once = true;
+  send();
+  RunFor(Millis(30));
+  m_answer_at_once = false;
+  send();
+  RunFor(Millis(30));
+  const auto fresh = Connect();
+  fresh->Send(std::string(kGet), false, Any, [&](const ExchangeResult& result) {
+    errors.push_back(result.error);
+  });
+  RunFor(Millis(30));
+  m_listener.reset();
+  RunFor(Millis(30));
+  ASSERT_EQ(errors.size(), 3u);
+  EXPECT_EQ(errors[0], std::nullopt);
+  EXPECT_EQ(std::ranges::count(errors, ExchangeError::kBroken), 1);
+  EXPECT_EQ(std::ranges::count(errors, ExchangeError::kNewBroken), 1);
+}
+
 TEST_F(LoopbackTest, IdleConnectionThatThePeerClosesIsReported) {
   const auto connection = Connect();
   connection->Send(std::string(kGet), false, Any, [](const ExchangeResult&) {});
--- a/unittests/serving/dispatcher_test.cc
+++ b/unittests/serving/dispatcher_test.cc
@@ -218,6 +218,7 @@
     h.replicas.Remove(fmt::format("shard0-{}", i), h.now);
     h.replicas.Remove(fmt::format("shard1-{}", i), h.now);
   }
+  h.replicas.Sweep(h.now + Millis(3000));
   h.Submit("/all/x");
   EXPECT_TRUE(h.TakeSends().empty());
   ASSERT_EQ(h.answers.size(), 1u);
@@ -315,6 +316,79 @@
   EXPECT_FALSE(silent->unresponsive);
 }
 
+// Guards against a replica that stays out of use, and is then probed over a new
+// connection, after a pause that is shorter than the silence limit: the attempt
+// that shows its return must not be broken off.
+TEST(DispatcherTest, PausedReplicaIsUsedAgainWhenItAnswers) {
+  Harness h;
+  for (int i = 0; i < 40; ++i) {
+    h.Submit("/all/x");
+    h.Advance(Millis(10));
+    h.AnswerAll(h.TakeSends());
+  }
+  h.Submit("/all/x");
+  auto sends = h.TakeSends();
+  const SendOrder paused = sends.back();
+  sends.pop_back();
+  h.Advance(Millis(10));
+  h.AnswerAll(sends);
+  h.Advance(Millis(20));
+  h.AnswerAll(h.TakeSends());
+  ASSERT_TRUE(paused.replica->overdue);
+  h.Advance(Millis(250));
+  EXPECT_TRUE(h.abandoned.empty());
+  h.AnswerAll({paused});
+  EXPECT_FALSE(paused.replica->overdue);
+  h.Advance(Millis(1000));
+  h.dispatcher.Sweep(h.now);
+  EXPECT_TRUE(h.probes.empty());
+}
+
+// Guards against the same attempt being kept when its caller has gone, or when
+// the replica stays silent.
+TEST(DispatcherTest, AttemptOnAnOverdueReplicaEnds) {
+  for (const bool caller_gone : {true, false}) {
+    Harness h;
+    const RequestKey key = h.Submit("/all/x");
+    auto sends = h.TakeSends();
+    sends.pop_back();
+    h.AnswerAll(sends);
+    h.Advance(Millis(100));
+    if (caller_gone) {
+      h.dispatcher.Cancel(key, h.now);
+    } else {
+      h.AnswerAll(h.TakeSends());
+    }
+    h.Advance(Millis(caller_gone ? 200 : 500));
+    EXPECT_FALSE(h.abandoned.empty()) << caller_gone;
+  }
+}
+
+// Guards against attempts that are lost one after the other at a replica that
+// takes no more connections, while others have room.
+TEST(DispatcherTest, ReplicaThatResetsNewConnectionsGetsNoneForAWhile) {
+  Harness h;
+  h.Submit("/one/x");
+  const SendOrder lost = h.TakeSends().front();
+  h.dispatcher.OnFailure(lost.attempt, FailureKind::kNewConnectionLost, h.now);
+  const auto uses = [&h, &lost] {
+    size_t count = 0;
+    for (int i = 0; i < 60; ++i) {
+      h.Submit("/one/x");
+      const auto sends = h.TakeSends();
+      count += sends.front().replica == lost.replica ? 1 : 0;
+      h.AnswerAll(sends);
+    }
+    return count;
+  };
+  EXPECT_EQ(uses(), 0u);
+  lost.replica->idle_connections = 1;
+  EXPECT_GT(uses(), 0u) << "connections that stand are used";
+  lost.replica->idle_connections = 0;
+  h.Advance(Millis(5000));
+  EXPECT_GT(uses(), 0u);
+}
+
 // Guards against attempts that nobody waits for and that keep wanted requests
 // from slow replicas. The load: every replica of a shard takes half a second,
 // and each request is answered without it.
