--- a/include/tanagervane/state/kind_follower.h
+++ b/include/tanagervane/state/kind_follower.h
@@ -11,46 +11,12 @@
 #include <unordered_map>
 #include <vector>
 
-#include "nlohmann/json.hpp"
+#include "tanagervane/state/store_types.h"
 #include "tanagervane/support/millis.h"
 #include "tanagervane/support/random.h"
 
 namespace tanagervane {
 
-struct StoreObject {
-  std::string name;
-  /// The store's revision at the object's last change.
-  uint64_t revision = 0;
-  nlohmann::json content;
-};
-
-enum class StoreResult {
-  kOk,
-  kHistoryGone,  ///< A watch from this revision is no longer possible.
-  kUnavailable,  ///< No answer, or one that refuses or cannot be read.
-};
-
-std::string_view ToString(StoreResult result);
-
-/// One page of the objects of a kind.
-struct StorePage {
-  std::vector<StoreObject> objects;
-  bool has_more = false;
-  /// The store's revision when the page was made.
-  uint64_t revision = 0;
-};
-
-struct StoreEvent {
-  StoreObject object;
-  bool deleted = false;
-};
-
-struct StoreEvents {
-  std::vector<StoreEvent> events;
-  /// Where the next watch continues.
-  uint64_t revision = 0;
-};
-
 struct KindFollowerHooks {
   using PageDone = std::function<void(StoreResult, StorePage)>;
   using EventsDone = std::function<void(StoreResult, StoreEvents)>;
--- /dev/null
+++ b/lib/fleet/fleet_size.cc
@@ -0,0 +1,25 @@
+// The estimate of the fleet's size.
+
+#include "tanagervane/fleet/fleet_size.h"
+
+#include <algorithm>
+
+namespace tanagervane {
+
+namespace {
+
+/// VMs assumed while neither the store nor gossip has told of others.
+constexpr size_t kAssumedVms = 4;
+
+}  // namespace
+
+size_t EstimateFleetSize(const FleetView& view) {
+  const size_t live = std::max<size_t>(1, view.live);
+  if (!view.listed) {
+    return view.settled ? live : std::max(live, kAssumedVms);
+  }
+  const bool majority = live * 2 > *view.listed;
+  return view.settled && majority ? live : std::max(live, *view.listed);
+}
+
+}  // namespace tanagervane
--- a/lib/serving/replica_chooser.cc
+++ b/lib/serving/replica_chooser.cc
@@ -41,8 +41,8 @@
 /// Cost of a busy slot, likewise: spreads load before replicas are full.
 constexpr double kContentionCost = 0.15;
 
-/// Cost of bytes between data centres.
-constexpr Millis kRemoteCost{1.5};
+/// Cost of bytes between data centres, on top of the way there.
+constexpr Millis kRemoteCost{8};
 
 /// Cost of a new connection.
 constexpr Millis kConnectCost{7};
--- a/lib/serving/replica_set.cc
+++ b/lib/serving/replica_set.cc
@@ -16,8 +16,10 @@
 /// within two seconds of its return.
 constexpr Millis kLapsedGrace{2200};
 
-/// How long a removal takes to reach this VM and to take effect here.
-constexpr Millis kRemovalDelay{800};
+/// How long a removal takes to reach this VM and to take effect here: a part of
+/// the drain bound for batching, and a fixed time.
+constexpr double kRemovalDelayPart = 1.0 / 6;
+constexpr Millis kRemovalDelay{300};
 
 /// How long after the store's return vanished entries count as lapsed.
 constexpr Millis kDisturbedAfterReturn{2500};
@@ -157,7 +159,8 @@
   if (StoreDisturbed(now)) {
     return kLapsedGrace;
   }
-  return std::clamp(m_drain_bound - kRemovalDelay, Millis(0), kLapsedGrace);
+  const Millis left = m_drain_bound * (1 - kRemovalDelayPart) - kRemovalDelay;
+  return std::clamp(left, Millis(0), kLapsedGrace);
 }
 
 void ReplicaSet::SetStoreReachable(bool reachable, Millis now) {
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -21,8 +21,11 @@
 constexpr Millis kListVmsPeriod{15'000};
 
 /// Changes of replicas that come together are read with one call. A replica
-/// that leaves serves on for seconds.
-constexpr Millis kReplicaBatching{400};
+/// that leaves serves on for the drain bound, of which this is a part.
+constexpr double kBatchingPart = 1.0 / 6;
+
+/// What a change may take beyond that from one VM to the next.
+constexpr Millis kDeafMargin{400};
 
 /// Callers keep an address for up to three times the lifetime that the
 /// directory states.
@@ -40,6 +43,9 @@
 constexpr size_t kReservedDescriptors = 300;
 constexpr size_t kCallerDescriptorPart = 2;
 
+/// Addresses in one answer; those of the caller's data centre come first.
+constexpr size_t kMostAddresses = 64;
+
 /// Small requests of the platform and of scrapers.
 constexpr HttpListenerOptions kServiceListener = {
     .limits = {.header_bytes = 8192, .body_bytes = 4096},
@@ -133,6 +139,7 @@
       m_peers(MakeSelf(m_settings, incarnation), incarnation),
       m_directory(m_peers, incarnation),
       m_gossip(m_poller, m_peers, m_quarantine, GossipHooks()),
+      m_registry(m_settings.id, RegistryHooks()),
       m_started_at(Poller::Now()) {
   m_poller.SetAlarmHook([this] {
     m_dispatcher.OnTick(Poller::Now());
@@ -161,17 +168,20 @@
   const uint64_t seed = m_peers.self().incarnation;
   m_config_follower = std::make_unique<KindFollower>(KindFollowerOptions{},
                                                      ConfigHooks(), seed);
+  const Millis batching = m_settings.drain_bound * kBatchingPart;
   m_replica_follower = std::make_unique<KindFollower>(
-      KindFollowerOptions{.batching = kReplicaBatching}, ReplicaHooks(), seed);
+      KindFollowerOptions{.deaf_after = batching + kDeafMargin,
+                          .batching = batching},
+      ReplicaHooks(), seed);
   m_config_follower->Start();
   m_replica_follower->Start();
-  RegisterVm();
+  m_registry.Start(Poller::Now());
   m_loop.Every(kSweepPeriod, [this] { Sweep(); });
   m_loop.Every(kGossipPeriod, [this] {
     m_gossip.Beat(Poller::Now());
     OnMembershipChange();
   });
-  m_loop.Every(kListVmsPeriod, [this] { ListVms(); });
+  m_loop.Every(kListVmsPeriod, [this] { m_registry.Refresh(Poller::Now()); });
   return absl::OkStatus();
 }
 
@@ -292,6 +302,9 @@
   for (const EntryAddress& entry : serving.addresses) {
     addresses.push_back(entry.caller_address);
   }
+  if (addresses.size() > kMostAddresses) {
+    addresses.resize(kMostAddresses);
+  }
   if (addresses.empty()) {
     m_directory_listener.Respond(exchange, PlainStatus(503));
     return;
@@ -396,7 +409,7 @@
   m_replicas.SetDrainBound(settings.drain_bound);
   m_settings.stop_grace = settings.stop_grace;
   m_settings.address_lifetime = settings.address_lifetime;
-  OnMembershipChange();
+  m_replicas.SetFleet(m_fleet_size, m_settings.retries);
   LogEvent("settings_reloaded").Field("id", m_settings.id);
 }
 
@@ -413,7 +426,7 @@
   m_peers.SetState(PeerState::kLeaving);
   m_gossip.Announce(now);
   m_callers.CloseAfterResponses();
-  m_store->Delete(StoreKind::kVms, m_settings.id, [](WriteResult) {});
+  m_registry.Leave();
   const Millis accept_until =
       m_settings.address_lifetime * kAddressLifetimes + kLeavingNews;
   m_loop.After(std::min(accept_until, m_settings.stop_grace * 0.6),
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -12,8 +12,10 @@
 
 #include "absl/status/status.h"
 #include "platform/store_client.h"
+#include "tanagervane/fleet/fleet_size.h"
 #include "tanagervane/fleet/replica_connections.h"
 #include "tanagervane/fleet/udp_gossip.h"
+#include "tanagervane/fleet/vm_registry.h"
 #include "tanagervane/net/event_loop.h"
 #include "tanagervane/net/http_listener.h"
 #include "tanagervane/net/poller.h"
@@ -54,6 +56,7 @@
   KindFollowerHooks StoreHooks(StoreKind kind);
   KindFollowerHooks ConfigHooks();
   KindFollowerHooks ReplicaHooks();
+  VmRegistryHooks RegistryHooks();
 
   // Callers.
   void OnCallerRequest(ExchangeId exchange, HttpRequestMessage message);
@@ -72,8 +75,7 @@
   void OnStoreReachable(StoreKind kind, bool reachable, StoreResult result);
 
   // The fleet.
-  void RegisterVm();
-  void ListVms();
+  void OnRegistryRead();
   void OnMembershipChange();
   void UpdateState();
   bool IsReady() const;
@@ -102,6 +104,7 @@
   PeerTable m_peers;
   EntryDirectory m_directory;
   UdpGossip m_gossip;
+  VmRegistry m_registry;
   std::unique_ptr<StoreClient> m_store;
   std::unique_ptr<KindFollower> m_config_follower;
   std::unique_ptr<KindFollower> m_replica_follower;
@@ -109,7 +112,8 @@
   std::unordered_map<RequestKey, std::string> m_request_ids;
   std::unordered_map<uint64_t, std::shared_ptr<ServingReplica>> m_probes;
   uint64_t m_next_probe = 0;
-  size_t m_registered_vms = 0;
+  /// VMs that share limits, as last estimated.
+  size_t m_fleet_size = 0;
   Millis m_started_at;
   bool m_stopping = false;
   Millis m_stop_deadline;
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -14,13 +14,8 @@
 
 namespace {
 
-/// The own object in the store is written again after this time when the store
-/// did not take it.
-constexpr Millis kRegisterRetry{500};
-
-/// VMs assumed until gossip has told of the others.
+/// How long gossip needs at most to reach the other VMs after a start.
 constexpr Millis kGossipWarmUp{1500};
-constexpr size_t kAssumedVms = 4;
 
 void LogRejected(std::string_view event,
                  std::string_view name,
@@ -32,6 +27,21 @@
       .Field("reason", std::string_view(message.data(), message.size()));
 }
 
+ListedVmPage ReadVmPage(const StorePage& page) {
+  ListedVmPage result;
+  result.has_more = page.has_more;
+  for (const StoreObject& object : page.objects) {
+    result.last_name = object.name;
+    auto address = DecodeVm(object.content);
+    if (address.ok()) {
+      result.vms.push_back({object.name, *std::move(address)});
+    } else {
+      LogRejected("vm_entry_invalid", object.name, address.status());
+    }
+  }
+  return result;
+}
+
 }  // namespace
 
 UdpGossipHooks Node::GossipHooks() {
@@ -159,65 +169,64 @@
   }
 }
 
-void Node::RegisterVm() {
+VmRegistryHooks Node::RegistryHooks() {
+  VmRegistryHooks hooks;
   const std::string body = EncodeVm(m_settings.id, m_settings.gossip_address);
-  m_store->Create(StoreKind::kVms, body, [this, body](WriteResult result) {
-    if (m_stopping) {
-      return;
-    }
-    switch (result) {
-      case WriteResult::kDone:
-        ListVms();
-        return;
-      case WriteResult::kConflict:
-        // This VM's previous process left it; a no-op when the address stands.
-        m_store->Replace(StoreKind::kVms, m_settings.id, body,
-                         [this](WriteResult) { ListVms(); });
-        return;
-      case WriteResult::kNotFound:
-      case WriteResult::kRefused:
-      case WriteResult::kUnknown:
-        LogEvent("vm_registration_failed").Field("retry", true);
-        m_loop.After(kRegisterRetry, [this] { RegisterVm(); });
-    }
-  });
+  hooks.create = [this, body](VmRegistryHooks::WriteDone done) {
+    m_store->Create(StoreKind::kVms, body, std::move(done));
+  };
+  hooks.replace = [this, body](VmRegistryHooks::WriteDone done) {
+    m_store->Replace(StoreKind::kVms, m_settings.id, body, std::move(done));
+  };
+  hooks.remove = [this](std::string_view id) {
+    LogEvent("vm_deregistered").Field("vm", id);
+    m_store->Delete(StoreKind::kVms, id, [](WriteResult) {});
+  };
+  hooks.list = [this](std::string_view after, bool may_be_stale,
+                      VmRegistryHooks::PageDone done) {
+    m_store->List(
+        StoreKind::kVms, after, may_be_stale,
+        [done = std::move(done)](StoreResult result, const StorePage& page) {
+          done(result, ReadVmPage(page));
+        });
+  };
+  hooks.after = [this](Millis delay, std::function<void()> task) {
+    m_loop.After(delay, std::move(task));
+  };
+  hooks.is_live = [this](std::string_view id) {
+    const auto peer = m_peers.Find(id, Poller::Now());
+    return peer && peer->liveness != Liveness::kDead;
+  };
+  hooks.changed = [this] { OnRegistryRead(); };
+  hooks.register_failed = [] {
+    LogEvent("vm_registration_failed").Field("retry", true);
+  };
+  return hooks;
 }
 
-void Node::ListVms() {
-  if (m_stopping) {
-    return;
-  }
-  const bool may_be_stale = m_registered_vms > 0;
-  m_store->List(StoreKind::kVms, "", may_be_stale,
-                [this](StoreResult result, const StorePage& page) {
-                  if (result != StoreResult::kOk) {
-                    return;
-                  }
-                  std::vector<std::string> addresses;
-                  for (const StoreObject& object : page.objects) {
-                    auto address = DecodeVm(object.content);
-                    if (!address.ok()) {
-                      LogRejected("vm_entry_invalid", object.name,
-                                  address.status());
-                    } else if (object.name != m_settings.id) {
-                      addresses.push_back(*std::move(address));
-                    }
-                  }
-                  m_registered_vms = page.objects.size();
-                  m_peers.SetSeeds(std::move(addresses));
-                  m_gossip.Announce(Poller::Now());
-                });
+void Node::OnRegistryRead() {
+  m_peers.SetSeeds(m_registry.OtherAddresses());
+  m_gossip.Announce(Poller::Now());
+  OnMembershipChange();
 }
 
 void Node::OnMembershipChange() {
   const Millis now = Poller::Now();
-  size_t vms = 1;
+  FleetView view;
   for (const PeerTable::Peer& peer : m_peers.Peers(now)) {
-    vms += peer.liveness != Liveness::kDead ? 1 : 0;
+    view.live += peer.liveness != Liveness::kDead ? 1 : 0;
   }
-  if (now - m_started_at < kGossipWarmUp) {
-    vms = std::max({vms, kAssumedVms, m_registered_vms});
+  view.listed = m_registry.listed();
+  view.settled = now - m_started_at >= kGossipWarmUp;
+  const size_t vms = EstimateFleetSize(view);
+  if (vms == m_fleet_size) {
+    return;
   }
+  m_fleet_size = vms;
+  LogEvent("fleet_size")
+      .Field("vms", vms)
+      .Field("live", view.live)
+      .Field("listed", view.listed.value_or(0));
   m_replicas.SetFleet(vms, m_settings.retries);
 }
 
