Read changed settings without a signal; break links in the soak

Settings: a file that changed without SIGHUP was not read. SettingsFile compares the text once a second; settings that cannot be used are logged once and those in force stay. A reload now applies the descriptor limit and the drain bound, and says when addresses changed, which need a restart. Test over processes; it fails without the poll.

Soak: every replica and each node's way to the store go through a link of the fault proxy, which is cut, silent, one way (new), late or slow to accept. New faults: entries that lapse while their replicas serve, a store that is slow or loses answers of writes. Callers use a connection until it ends, and an answer that an undisturbed node holds longer than the timeout counts as a problem.

--- a/integration/platform_cluster.py
+++ b/integration/platform_cluster.py
@@ -18,7 +18,7 @@
 class Node:
     """One node process with an address of its own on loopback."""
 
-    def __init__(self, number, platform, directory):
+    def __init__(self, number, platform, directory, store_address=None):
         self.ip = "127.0.7.%d" % number
         self.path = os.path.join(directory, "node-%d.json" % number)
         self.log_path = os.path.join(directory, "node-%d.log" % number)
@@ -27,7 +27,7 @@
         with open(self.path, "w", encoding="utf-8") as file:
             json.dump({
                 "id": "node-%d" % number, "data_centre": "a",
-                "store_address": platform.store.address,
+                "store_address": store_address or platform.store.address,
                 "max_descriptors": 1024,
                 "listeners": {
                     "ip": self.ip, "callers": self.callers,
@@ -37,6 +37,8 @@
                            "retry_slack": 100, "retry_window_s": 10},
                 "policy": {"address_lifetime_ms": 200}}, file)
         self.process = None
+        # Until then slow answers are the test's doing.
+        self.disturbed_until = 0
         self.start()
 
     def start(self):
@@ -45,6 +47,9 @@
                 [os.path.join(BUILD, "tanagervane-node"),
                  "--settings=" + self.path], stdout=log, stderr=log)
 
+    def disturbed(self):
+        return time.monotonic() < self.disturbed_until
+
     def log(self):
         with open(self.log_path, encoding="utf-8") as file:
             return file.read()
--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -111,6 +111,9 @@
         self.refuse = False
         self.silent = False
         self.deaf = False
+        # Writes are done and not answered; answers come late.
+        self.lose = False
+        self.delay_s = 0
         super().__init__(platform)
 
     def put(self, kind, name, spec):
@@ -146,6 +149,8 @@
             await asyncio.sleep(3600)
         if self.refuse:
             return response(503)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
         parts = request.path.split("/")[3:]
         kind = parts[0]
         if request.method == "GET" and "watch" in request.query:
@@ -157,6 +162,12 @@
                 return response(404)
             await self.apply(kind, parts[1], None)
             return response(200, b"{}")
+        if self.lose:
+            await self.write(request, kind, parts)
+            return None
+        return await self.write(request, kind, parts)
+
+    async def write(self, request, kind, parts):
         body = json.loads(request.body)
         name = parts[1] if len(parts) > 1 else body["meta"]["name"]
         if request.method == "POST" and name in self.objects[kind]:
@@ -200,13 +211,16 @@
         self.running = 0
         self.ran = []
         self.rejected = 0
+        # Where nodes reach it, when that is not its own address.
+        self.public = None
         # Faults.
         self.mode = "good"
         super().__init__(platform)
         self.register()
 
     def entry(self, state="ready"):
-        return {"service": self.service, "addr": self.address, "zone": "a",
+        return {"service": self.service, "addr": self.public or self.address,
+                "zone": "a",
                 "version": "v1", "concurrencyLimit": self.slots,
                 "state": state, "warmupLeftMs": 0, "sequence": 1,
                 "born": 1700000000000}
--- a/integration/soak_platform.py
+++ b/integration/soak_platform.py
@@ -1,16 +1,20 @@
 """A randomised fault soak of tanagervane-node on the platform's stand-in.
 
-Usage: soak_platform.py [--seeds FIRST:LAST] [--seconds N]
-
-Each seed starts three nodes and a few callers, and injects faults from outside
-in series that overlap: nodes that are killed, paused, stopped as planned and
-restarted; replicas that turn silent, slow, shedding, failing, resetting,
-cutting or garbling, that leave and come back; a store that refuses, is silent,
-deaf or forgets its history; versions of the configuration. Callers check each
-answer while it runs, and replicas count what they ran.
+Usage: soak_platform.py [--seeds FIRST:LAST] [--seconds N] [--nodes N]
+                        [--callers N]
+
+Each seed starts nodes and a few callers, and injects faults from outside in
+series that overlap: nodes that are killed, paused, stopped as planned and
+restarted; links to replicas and to the store that are cut, silent, one way or
+late; replicas that turn silent, slow, shedding, failing, resetting, cutting or
+garbling, that leave, come back, or lose their entries while they serve; a store
+that refuses, is silent, slow or deaf, loses answers of writes or forgets its
+history; versions of the configuration. Callers use a connection until it ends
+and check each answer while it runs; replicas count what they ran.
 """
 
 import argparse
+import http.client
 import os
 import random
 import signal
@@ -18,21 +22,54 @@
 import tempfile
 import threading
 import time
+import uuid
 
-from platform_cluster import (SHARDS, Node, ask, merge_problem, routes,
-                              wait_for)
+from fault_links import CLEAR, FAULTS, Links
+from platform_cluster import (BASE_PORT, SHARDS, Node, Reply, ask,
+                              merge_problem, routes, wait_for)
 from platform_standin import Platform
 
-NODES = 3
-CALLERS = 6
+LINK_PORTS = BASE_PORT + 6000
 MODES = ("silent", "shed", "error", "reset", "cut", "extra")
 # After the last fault everything must be served again within this time.
 RECOVERY_S = 8
 
 
+# The timeout of the routes, and what a busy machine adds.
+LONGEST_WAIT_S = 3
+
+
+class Caller:
+    """Keeps a connection to each node and uses it until it ends."""
+
+    def __init__(self):
+        self.connections = {}
+
+    def ask(self, node, path, method="GET", body=None):
+        reply = Reply()
+        reply.id = uuid.uuid4().hex
+        connection = self.connections.pop(node.ip, None) or \
+            http.client.HTTPConnection(node.callers, timeout=8)
+        start = time.monotonic()
+        try:
+            connection.request(method, path, body, {
+                "Host": "h.example", "Request-Id": reply.id, "Deadline": "800"})
+            answer = connection.getresponse()
+            reply.status = answer.status
+            reply.headers = dict(answer.getheaders())
+            reply.body = answer.read()
+            if not answer.will_close:
+                self.connections[node.ip] = connection
+        except (OSError, http.client.HTTPException):
+            connection.close()
+        reply.seconds = time.monotonic() - start
+        return reply
+
+
 class Soak:
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, folder, nodes, callers):
+        self.callers = callers
         self.random = random.Random(seed)
         self.problems = []
         self.outcomes = {}
@@ -45,8 +82,19 @@
             self.platform.add_replicas(shard, 3)
         self.platform.add_replicas("desk", 3)
         self.platform.add_replicas("desk2", 3)
+        replicas = self.platform.all_replicas()
+        store = self.platform.store.address
+        # A link to each replica, shared by the nodes, and one from each node to
+        # the store.
+        self.links = Links([r.address for r in replicas] + [store] * nodes,
+                           LINK_PORTS)
+        for replica, address in zip(replicas, self.links.addresses):
+            replica.public = address
+            replica.register()
         self.platform.configure(routes())
-        self.nodes = [Node(i + 1, self.platform, folder) for i in range(NODES)]
+        self.nodes = [Node(i + 1, self.platform, folder,
+                           self.links.addresses[len(replicas) + i])
+                      for i in range(nodes)]
 
     def note(self, problem):
         with self.lock:
@@ -55,16 +103,19 @@
     def call(self, number):
         """One caller: asks in a loop and checks each answer."""
         chooser = random.Random(number)
+        caller = Caller()
         while self.running:
             node = chooser.choice(self.nodes)
             if chooser.random() < 0.7:
-                reply = ask(node, "/all/x", deadline=800)
+                reply = caller.ask(node, "/all/x")
                 if reply.status == 200 and merge_problem(reply):
                     self.note("%s: %s" % (reply.id, merge_problem(reply)))
             else:
-                reply = ask(node, "/one/x", "POST", b"order", 800)
+                reply = caller.ask(node, "/one/x", "POST", b"order")
                 with self.lock:
                     self.once.append((reply.id, reply.status))
+            if reply.seconds > LONGEST_WAIT_S and not node.disturbed():
+                self.note("%s: held for %.1f s" % (reply.id, reply.seconds))
             if reply.status not in (0, 200, 500, 502, 503, 504):
                 self.note("%s: status %d" % (reply.id, reply.status))
             with self.lock:
@@ -83,8 +134,13 @@
     def pause_node(self):
         node = self.random.choice(self.nodes)
         process = node.process
+        node.disturbed_until = float("inf")
         process.send_signal(signal.SIGSTOP)
-        return lambda: process.send_signal(signal.SIGCONT)
+
+        def wake():
+            process.send_signal(signal.SIGCONT)
+            node.disturbed_until = time.monotonic() + LONGEST_WAIT_S
+        return wake
 
     def stop_node(self):
         node = self.random.choice(self.nodes)
@@ -131,10 +187,33 @@
             replica.register()
         return come_back
 
+    def lapse_entries(self):
+        """Entries go while their replicas serve on, and come back."""
+        group = self.random.sample(self.platform.all_replicas(), 9)
+        for replica in group:
+            self.platform.store.delete("servers", replica.name)
+
+        def come_back():
+            for replica in group:
+                replica.register()
+        return come_back
+
+    def break_links(self):
+        group = self.random.sample(range(len(self.links.addresses)), 3)
+        for index in group:
+            self.links.change(index, self.random.choice(FAULTS))
+
+        def mend():
+            for index in group:
+                self.links.change(index, CLEAR)
+        return mend
+
     def break_store(self):
         store = self.platform.store
-        fault = self.random.choice(("refuse", "silent", "deaf"))
-        setattr(store, fault, True)
+        fault, value = self.random.choice((
+            ("refuse", True), ("silent", True), ("deaf", True), ("lose", True),
+            ("delay_s", 0.7)))
+        setattr(store, fault, value)
 
         def mend():
             setattr(store, fault, False)
@@ -152,8 +231,8 @@
     def inject(self, seconds):
         faults = [self.kill_node, self.pause_node, self.stop_node,
                   self.reload_node, self.break_replicas, self.slow_replicas,
-                  self.drain_replica, self.break_store, self.forget_history,
-                  self.change_config]
+                  self.drain_replica, self.lapse_entries, self.break_links,
+                  self.break_store, self.forget_history, self.change_config]
         end = time.monotonic() + seconds
         active = {}
         while time.monotonic() < end:
@@ -161,6 +240,9 @@
             for fault in [f for f, (until, _) in active.items() if until < now]:
                 active.pop(fault)[1]()
             fault = self.random.choice(faults)
+            entries = (self.drain_replica, self.lapse_entries)
+            if fault in entries and any(f in active for f in entries):
+                continue
             if fault not in active:
                 # Node faults exclude each other: two would fight for a process.
                 group = (self.kill_node, self.pause_node, self.stop_node,
@@ -192,7 +274,7 @@
         for node in self.nodes:
             wait_for(node.ready, "node is ready")
         callers = [threading.Thread(target=self.call, args=(i,))
-                   for i in range(CALLERS)]
+                   for i in range(self.callers)]
         for caller in callers:
             caller.start()
         try:
@@ -209,6 +291,7 @@
             self.check_runs()
             for node in self.nodes:
                 node.stop()
+            self.links.stop()
             self.platform.close()
 
 
@@ -216,12 +299,14 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seeds", default="1:2", help="FIRST:LAST")
     parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--callers", type=int, default=6)
     options = parser.parse_args()
     first, last = (int(n) for n in options.seeds.split(":"))
     failed = 0
     for seed in range(first, last + 1):
         folder = tempfile.mkdtemp(prefix="soak-%d-" % seed)
-        soak = Soak(seed, folder)
+        soak = Soak(seed, folder, options.nodes, options.callers)
         soak.run(options.seconds)
         print("soak seed=%d problems=%d outcomes=%s%s" % (
             seed, len(soak.problems), dict(sorted(soak.outcomes.items())),
--- a/integration/test_platform.py
+++ b/integration/test_platform.py
@@ -185,6 +185,26 @@
                  "reload is logged")
         self.check_merged(self.ask("/all/x"))
 
+    @staticmethod
+    def write(path, text):
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text)
+
+    def test_changed_settings_apply_without_a_signal(self):
+        """Guards against settings that wait for a signal which never comes,
+        and against a broken file that ends the process."""
+        node = self.nodes[1]
+        with open(node.path, encoding="utf-8") as file:
+            settings = file.read()
+        self.addCleanup(self.write, node.path, settings)
+        for text, event in ((settings.replace(": 3,", ": 4,"),
+                             "event=settings_reloaded"),
+                            (settings + "}", "event=settings_reload_refused")):
+            self.assertNotIn(event, node.log())
+            self.write(node.path, text)
+            wait_for(lambda event=event: event in node.log(), event, 5)
+        self.check_merged(self.ask("/all/x"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/standins/fault-proxy/main.cc
+++ b/standins/fault-proxy/main.cc
@@ -91,6 +91,7 @@
   SettingsPatch patch(body);
   patch.Read("cut", faults.cut);
   patch.Read("blackhole", faults.blackhole);
+  patch.Read("one_way", faults.one_way);
   patch.Read("delay_ms", 0, kMaxMillis, faults.delay_ms);
   patch.Read("accept_delay_ms", 0, kMaxMillis, faults.accept_delay_ms);
   patch.Read("limit", 1000000, faults.limit);
--- a/standins/fault-proxy/proxy.cc
+++ b/standins/fault-proxy/proxy.cc
@@ -172,6 +172,7 @@
           {"bytes", m_bytes},
           {"cut", m_faults.cut},
           {"blackhole", m_faults.blackhole},
+          {"one_way", m_faults.one_way},
           {"delay_ms", m_faults.delay_ms},
           {"accept_delay_ms", m_faults.accept_delay_ms},
           {"limit", m_faults.limit}};
@@ -321,8 +322,9 @@
   if (m_link.faults().blackhole) {
     return;
   }
-  const bool alive = ReadInto(m_up) && ReadInto(m_down) && WriteFrom(m_up) &&
-                     WriteFrom(m_down);
+  const bool answers_pass = !m_link.faults().one_way;
+  const bool alive = ReadInto(m_up) && WriteFrom(m_up) &&
+                     (!answers_pass || (ReadInto(m_down) && WriteFrom(m_down)));
   if (!alive) {
     Drop(/*with_reset=*/true);
     return;
@@ -348,13 +350,16 @@
     next_due = next_due == 0 ? due : std::min(next_due, due);
     return false;
   };
-  const auto add = [&](int fd, const Direction& reads,
-                       const Direction& writes) -> guint {
+  // The direction from the target is not watched while its bytes are held.
+  const Direction* down = m_link.faults().one_way ? nullptr : &m_down;
+  const auto add = [&](int fd, const Direction* reads,
+                       const Direction* writes) -> guint {
     int condition = 0;
-    if (!reads.end_read && reads.buffered < kMaxBufferedBytes) {
+    if (reads != nullptr && !reads->end_read &&
+        reads->buffered < kMaxBufferedBytes) {
       condition |= G_IO_IN;
     }
-    if (wants_write(writes)) {
+    if (writes != nullptr && wants_write(*writes)) {
       condition |= G_IO_OUT;
     }
     return condition == 0
@@ -362,8 +367,8 @@
                : g_unix_fd_add(fd, static_cast<GIOCondition>(condition),
                                OnReady, this);
   };
-  m_client_source = add(m_client, m_up, m_down);
-  m_target_source = add(m_target, m_down, m_up);
+  m_client_source = add(m_client, &m_up, down);
+  m_target_source = add(m_target, down, &m_up);
   if (next_due != 0) {
     m_timer_set = true;
     m_timer = m_link.timers().After(Millis(next_due - now), [this] {
--- a/standins/fault-proxy/proxy.h
+++ b/standins/fault-proxy/proxy.h
@@ -23,6 +23,8 @@
   bool cut = false;
   /// Keeps connections open, accepts new ones and moves no bytes.
   bool blackhole = false;
+  /// Moves bytes to the target and none from it.
+  bool one_way = false;
   /// One-way delay in each direction.
   double delay_ms = 0;
   /// Delay between accepting a connection and connecting to the target.
--- a/tools/tanagervane-node/main.cc
+++ b/tools/tanagervane-node/main.cc
@@ -15,6 +15,7 @@
 #include "tanagervane/support/log.h"
 #include "tools/tanagervane-node/node.h"
 #include "tools/tanagervane-node/settings.h"
+#include "tools/tanagervane-node/settings_file.h"
 
 ABSL_FLAG(std::string,
           settings,
@@ -31,6 +32,9 @@
 
 constexpr Millis kLogFlushPeriod{100};
 
+/// The settings file may change without a signal.
+constexpr Millis kSettingsPeriod{1000};
+
 std::string SettingsPath() {
   std::string flag = absl::GetFlag(FLAGS_settings);
   if (!flag.empty()) {
@@ -43,16 +47,7 @@
   return variable;
 }
 
-void Reload(Node& node, const std::string& path) {
-  const auto settings = LoadNodeSettings(path);
-  if (!settings.ok()) {
-    ReportError("settings_reload_refused", settings.status());
-    return;
-  }
-  node.Reload(*settings);
-}
-
-int Run(const NodeSettings& settings, const std::string& path) {
+int Run(const NodeSettings& settings, SettingsFile& file) {
   EventLoop loop;
   BoundedLog log(STDOUT_FILENO, {}, &Poller::Now);
   SetLogSink([&log](std::string_view line) { log.Write(line); });
@@ -60,7 +55,11 @@
   absl::Status status = node.Start();
   if (status.ok()) {
     loop.OnStopSignal([&node] { node.Stop(); });
-    loop.OnReloadSignal([&] { Reload(node, path); });
+    const auto reload = [&node](const NodeSettings& changed) {
+      node.Reload(changed);
+    };
+    loop.OnReloadSignal([&file, reload] { file.Reload(reload); });
+    loop.Every(kSettingsPeriod, [&file, reload] { file.Poll(reload); });
     loop.Every(kLogFlushPeriod, [&log] { log.Flush(); });
     LogEvent("started")
         .Field("id", settings.id)
@@ -79,12 +78,12 @@
 
 int Main() {
   std::signal(SIGPIPE, SIG_IGN);
-  const std::string path = SettingsPath();
-  const auto settings = LoadNodeSettings(path);
+  SettingsFile file(SettingsPath());
+  const auto settings = file.Load();
   if (!settings.ok()) {
     return ReportError("settings_invalid", settings.status());
   }
-  return absl::GetFlag(FLAGS_check_settings) ? kExitDone : Run(*settings, path);
+  return absl::GetFlag(FLAGS_check_settings) ? kExitDone : Run(*settings, file);
 }
 
 }  // namespace
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -411,8 +411,18 @@
   m_replicas.SetDrainBound(settings.drain_bound);
   m_settings.stop_grace = settings.stop_grace;
   m_settings.address_lifetime = settings.address_lifetime;
+  m_settings.max_descriptors = settings.max_descriptors;
+  ApplyLimits(m_dispatcher.plan() ? m_dispatcher.plan()->limits()
+                                  : CallerLimits());
   m_replicas.SetFleet(m_fleet_size, m_settings.retries);
-  LogEvent("settings_reloaded").Field("id", m_settings.id);
+  const bool needs_restart =
+      settings.caller_address != m_settings.caller_address ||
+      settings.readiness_address != m_settings.readiness_address ||
+      settings.directory_address != m_settings.directory_address ||
+      settings.store_address != m_settings.store_address;
+  LogEvent("settings_reloaded")
+      .Field("id", m_settings.id)
+      .Field("addresses_changed", needs_restart);
 }
 
 void Node::Stop() {
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -42,7 +42,7 @@
   /// Leaves the fleet, finishes what runs and quits the loop.
   void Stop();
 
-  /// Takes changed settings. Listeners keep their addresses.
+  /// Takes changed bounds and limits. Addresses need a restart.
   void Reload(const NodeSettings& settings);
 
  private:
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -7,7 +7,6 @@
 #include "fmt/format.h"
 #include "tanagervane/net/socket.h"
 #include "tanagervane/support/error.h"
-#include "tanagervane/support/file.h"
 #include "tanagervane/support/json_object.h"
 
 namespace tanagervane {
@@ -94,9 +93,4 @@
   return settings;
 }
 
-absl::StatusOr<NodeSettings> LoadNodeSettings(const std::string& path) {
-  const absl::StatusOr<std::string> text = ReadFile(path);
-  return text.ok() ? ParseNodeSettings(*text) : text.status();
-}
-
 }  // namespace tanagervane
--- a/tools/tanagervane-node/settings.h
+++ b/tools/tanagervane-node/settings.h
@@ -45,9 +45,6 @@
 /// first offending value.
 absl::StatusOr<NodeSettings> ParseNodeSettings(std::string_view text);
 
-/// Reads and parses a settings file.
-absl::StatusOr<NodeSettings> LoadNodeSettings(const std::string& path);
-
 }  // namespace tanagervane
 
 #endif  // TANAGERVANE_TOOLS_TANAGERVANE_NODE_SETTINGS_H_
