Survive a reload signal during the start; answer before the caller leaves

It is ignored from the first line of main() on. The test holds the start up with settings that come through a pipe; it failed on the old program. The soak waits until a process takes the signal at all: before main() no program can.

A request that timed out was answered 5 ms before the end of the caller's time as counted here, which is 1 ms after it where the way takes 3 ms. The margin is 10 ms.

--- a/integration/soak_platform.py
+++ b/integration/soak_platform.py
@@ -39,6 +39,14 @@
 LONGEST_WAIT_S = 3
 
 
+def takes_reload_signal(process):
+    """Whether the process ignores or handles SIGHUP by now."""
+    with open("/proc/%d/status" % process.pid, encoding="ascii") as status:
+        masks = [int(line.split()[1], 16) for line in status
+                 if line.startswith(("SigIgn", "SigCgt"))]
+    return any(mask & 1 << signal.SIGHUP - 1 for mask in masks)
+
+
 class Caller:
     """Keeps a connection to each node and uses it until it ends."""
 
@@ -154,7 +162,12 @@
         return restart
 
     def reload_node(self):
-        self.random.choice(self.nodes).process.send_signal(signal.SIGHUP)
+        node = self.random.choice(self.nodes)
+        # Before its main function a process cannot take signals.
+        wait_for(lambda: takes_reload_signal(node.process) or
+                 node.process.poll() is not None,
+                 "the process takes reload signals", 2)
+        node.process.send_signal(signal.SIGHUP)
         return lambda: None
 
     def break_replicas(self):
--- a/integration/test_platform.py
+++ b/integration/test_platform.py
@@ -1,10 +1,11 @@
 """tanagervane-node on the stand-in of the users' platform."""
 
 import json
+import os
 import signal
 import tempfile
-import threading
 import time
+import threading
 import unittest
 
 from platform_cluster import (BASE_PORT, SHARDS, Node, ask, get, merge_problem,
@@ -185,6 +186,27 @@
                  "reload is logged")
         self.check_merged(self.ask("/all/x"))
 
+    def test_reload_signal_during_the_start_is_harmless(self):
+        """Guards against a process that a reload signal ends before it has
+        read its settings (soak seeds 323 and 326). The start is held up by
+        settings that come through a pipe."""
+        node = self.nodes[0]
+        node.stop()
+        with open(node.path, encoding="utf-8") as file:
+            settings = file.read()
+        os.unlink(node.path)
+        os.mkfifo(node.path)
+        node.start()
+        with open(node.path, "w", encoding="utf-8") as pipe:
+            # The open returns when the process has come to its settings.
+            node.process.send_signal(signal.SIGHUP)
+            time.sleep(0.2)
+            self.assertIsNone(node.process.poll())
+            os.unlink(node.path)
+            self.write(node.path, settings)
+            pipe.write(settings)
+        wait_for(node.ready, "node is ready")
+
     @staticmethod
     def write(path, text):
         with open(path, "w", encoding="utf-8") as file:
--- a/integration/test_platform_soak.py
+++ b/integration/test_platform_soak.py
@@ -7,17 +7,33 @@
 
 SOAK = Path(__file__).with_name("soak_platform.py")
 
+# Seeds that failed once, with the cause.
+REGRESSIONS = {
+    323: "a reload signal during the start ended the process",
+    326: "the same, after another sequence of faults",
+}
+
 
 class SoakTest(unittest.TestCase):
 
-    def test_seeds(self):
-        """Guards against wrong, doubled or lost answers, and against nodes
-        that do not recover, under overlapping faults."""
+    def soak(self, seeds, seconds):
         done = subprocess.run(
-            [sys.executable, str(SOAK), "--seeds", "1:4", "--seconds", "6"],
+            [sys.executable, str(SOAK), "--seeds", seeds, "--seconds",
+             str(seconds)],
             capture_output=True, text=True, timeout=250, check=False)
         self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
 
+    def test_seeds(self):
+        """Guards against wrong, doubled or lost answers, and against nodes
+        that do not recover, under overlapping faults."""
+        self.soak("1:4", 6)
+
+    def test_seeds_that_failed(self):
+        """Guards against the return of faults that the soak has found."""
+        for seed, cause in REGRESSIONS.items():
+            with self.subTest(seed=seed, cause=cause):
+                self.soak("%d:%d" % (seed, seed), 5)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -11,8 +11,9 @@
 
 namespace {
 
-/// Left between the answer and the end of the caller's patience.
-constexpr Millis kDeadlineMargin{5};
+/// Left between the answer and the end of the caller's patience: the caller
+/// counts from when it sent the request, and the answer has a way back.
+constexpr Millis kDeadlineMargin{10};
 
 /// A request with less time than this cannot be served.
 constexpr Millis kSmallestTimeLeft{2};
--- a/tools/tanagervane-node/main.cc
+++ b/tools/tanagervane-node/main.cc
@@ -78,6 +78,9 @@
 
 int Main() {
   std::signal(SIGPIPE, SIG_IGN);
+  // A reload signal must not end a process that is still starting; it reads the
+  // settings anyway.
+  std::signal(SIGHUP, SIG_IGN);
   SettingsFile file(SettingsPath());
   const auto settings = file.Load();
   if (!settings.ok()) {
--- a/unittests/serving/dispatcher_harness.h
+++ b/unittests/serving/dispatcher_harness.h
@@ -128,6 +128,7 @@
   std::vector<SendOrder> sends;
   std::vector<uint64_t> abandoned;
   std::vector<FinalAnswer> answers;
+  Millis answered_at;
   std::vector<std::shared_ptr<ServingReplica>> probes;
   size_t reports = 0;
   RequestKey next_key = 0;
@@ -144,6 +145,7 @@
     };
     hooks.answer = [this](const FinalAnswer& answer) {
       answers.push_back(answer);
+      answered_at = now;
     };
     hooks.finished = [this](const RequestReport&) { ++reports; };
     hooks.probe = [this](const std::shared_ptr<ServingReplica>& replica) {
--- a/unittests/serving/dispatcher_test.cc
+++ b/unittests/serving/dispatcher_test.cc
@@ -309,6 +309,20 @@
   EXPECT_EQ(h.answers[0].signatures.size(), Harness::kShards);
 }
 
+// Guards against a final answer that reaches its caller just after it has left:
+// the way is 3 ms there and 3 ms back.
+TEST(DispatcherTest, TimedOutAnswerReachesTheCaller) {
+  Harness h;
+  constexpr Millis kWay(3);
+  constexpr Millis kPatience(500);
+  const Millis sent = h.now - kWay;
+  h.Submit("/one/x", kPatience);
+  h.Advance(Millis(1000));
+  ASSERT_EQ(h.answers.size(), 1u);
+  EXPECT_EQ(h.answers[0].kind, AnswerKind::kTimedOut);
+  EXPECT_LE(h.answered_at + kWay, sent + kPatience);
+}
+
 // Guards against work that goes on long after its caller has gone.
 TEST(DispatcherTest, WorkEndsSoonAfterTheCallerHasGone) {
   Harness h;
