--- a/unittests/http/reader_test.cc
+++ b/unittests/http/reader_test.cc
@@ -2,7 +2,9 @@
 
 #include "tanagervane/http/reader.h"
 
+#include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gtest/gtest.h"
@@ -107,6 +109,60 @@
   EXPECT_EQ(FeedResponse(reader, buffer), ReadState::kComplete);
 }
 
+/// What a reader makes of a response that arrives in pieces of `step` bytes and
+/// ends with its connection.
+struct Reading {
+  ReadState state = ReadState::kIncomplete;
+  unsigned status = 0;
+  std::string body;
+  size_t consumed = 0;
+
+  bool operator==(const Reading&) const = default;
+};
+
+Reading ReadResponse(const std::string& bytes, size_t step) {
+  HttpResponseReader reader(kLimits, /*head=*/false);
+  Reading reading;
+  std::string buffer;
+  for (size_t at = 0;
+       at < bytes.size() && reading.state == ReadState::kIncomplete;
+       at += step) {
+    buffer += bytes.substr(at, step);
+    reading.consumed = std::min(at + step, bytes.size());
+    reading.state = reader.Feed(buffer);
+    reading.consumed -= buffer.size();
+  }
+  if (reading.state == ReadState::kIncomplete) {
+    reading.state = reader.FeedEnd();
+  }
+  if (reading.state != ReadState::kComplete) {
+    return {reading.state, 0, "", 0};
+  }
+  HttpResponseMessage message = reader.Take();
+  reading.status = message.status;
+  reading.body = std::move(message.body);
+  return reading;
+}
+
+// Guards against damaged or cut responses whose reading depends on how their
+// bytes arrive, and against a cut one that looks complete.
+RC_GTEST_PROP(ResponseReaderProperty, DamageReadsTheSameInAnyPieces, ()) {
+  const std::string whole = *rc::gen::element<std::string>(
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX: y\r\n\r\nhello",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\n"
+      "Content-Length: 2\r\n\r\nno");
+  const auto kept = *rc::gen::inRange<size_t>(1, whole.size());
+  RC_ASSERT(ReadResponse(whole.substr(0, kept), 7).state !=
+            ReadState::kComplete);
+  std::string damaged = whole;
+  damaged[*rc::gen::inRange<size_t>(0, whole.size())] =
+      *rc::gen::arbitrary<char>();
+  const Reading at_once = ReadResponse(damaged, damaged.size());
+  RC_ASSERT(ReadResponse(damaged, *rc::gen::inRange<size_t>(1, 9)) == at_once);
+}
+
 TEST(MessageTest, FieldsOfOneConnectionAreKnown) {
   EXPECT_TRUE(IsHopByHop("transfer-encoding", ""));
   EXPECT_TRUE(IsHopByHop("X-Mine", "close, x-mine"));
