--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -20,6 +20,11 @@
 
 namespace tanagervane {
 
+/// Changes of replicas that come together are gathered for this part of the
+/// drain bound, and read with one call: a replica that leaves serves on for
+/// that bound.
+inline constexpr double kBatchingPartOfDrain = 1.0 / 6;
+
 /// What a replica says of itself in the platform's store.
 struct ReplicaEntry {
   std::string id;
--- a/lib/serving/replica_set.cc
+++ b/lib/serving/replica_set.cc
@@ -16,9 +16,8 @@
 /// within two seconds of its return.
 constexpr Millis kLapsedGrace{2200};
 
-/// How long a removal takes to reach this VM and to take effect here: a part of
-/// the drain bound for batching, and a fixed time.
-constexpr double kRemovalDelayPart = 1.0 / 6;
+/// How long a removal takes to reach this VM and to take effect here, beyond
+/// the time for which changes are gathered.
 constexpr Millis kRemovalDelay{300};
 
 /// How long after the store's return vanished entries count as lapsed.
@@ -159,7 +158,8 @@
   if (StoreDisturbed(now)) {
     return kLapsedGrace;
   }
-  const Millis left = m_drain_bound * (1 - kRemovalDelayPart) - kRemovalDelay;
+  const Millis left =
+      m_drain_bound * (1 - kBatchingPartOfDrain) - kRemovalDelay;
   return std::clamp(left, Millis(0), kLapsedGrace);
 }
 
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -20,22 +20,10 @@
 /// The list of the other VMs' addresses is read again this often.
 constexpr Millis kListVmsPeriod{15'000};
 
-/// Changes of replicas that come together are read with one call. A replica
-/// that leaves serves on for the drain bound, of which this is a part.
-constexpr double kBatchingPart = 1.0 / 6;
-
-/// What a change may take beyond that from one VM to the next.
+/// What a change of replicas may take from one VM to the next, beyond the time
+/// for which changes are gathered.
 constexpr Millis kDeafMargin{400};
 
-/// Callers keep an address for up to three times the lifetime that the
-/// directory states.
-constexpr double kAddressLifetimes = 3;
-/// How long other VMs may take to stop giving out this VM's address.
-constexpr Millis kLeavingNews{400};
-/// Kept free at the end of the grace time.
-constexpr Millis kStopMargin{400};
-constexpr Millis kStopPoll{40};
-
 /// Replicas that a request must crash before it is refused.
 constexpr size_t kCrashesToRefuse = 3;
 
@@ -169,7 +157,7 @@
   const uint64_t seed = m_peers.self().incarnation;
   m_config_follower = std::make_unique<KindFollower>(KindFollowerOptions{},
                                                      ConfigHooks(), seed);
-  const Millis batching = m_settings.drain_bound * kBatchingPart;
+  const Millis batching = m_settings.drain_bound * kBatchingPartOfDrain;
   m_replica_follower = std::make_unique<KindFollower>(
       KindFollowerOptions{.deaf_after = batching + kDeafMargin,
                           .batching = batching},
@@ -405,60 +393,4 @@
   }
 }
 
-void Node::Reload(const NodeSettings& settings) {
-  m_settings.retries = settings.retries;
-  m_settings.retries.slack_from = m_started_at + settings.retries.window;
-  m_replicas.SetDrainBound(settings.drain_bound);
-  m_settings.stop_grace = settings.stop_grace;
-  m_settings.address_lifetime = settings.address_lifetime;
-  m_settings.max_descriptors = settings.max_descriptors;
-  ApplyLimits(m_dispatcher.plan() ? m_dispatcher.plan()->limits()
-                                  : CallerLimits());
-  m_replicas.SetFleet(m_fleet_size, m_settings.retries);
-  const bool needs_restart =
-      settings.caller_address != m_settings.caller_address ||
-      settings.readiness_address != m_settings.readiness_address ||
-      settings.directory_address != m_settings.directory_address ||
-      settings.store_address != m_settings.store_address;
-  LogEvent("settings_reloaded")
-      .Field("id", m_settings.id)
-      .Field("addresses_changed", needs_restart);
-}
-
-void Node::Stop() {
-  if (m_stopping) {
-    return;
-  }
-  m_stopping = true;
-  const Millis now = Poller::Now();
-  m_stop_deadline = now + m_settings.stop_grace - kStopMargin;
-  LogEvent("stopping")
-      .Field("running", m_dispatcher.running())
-      .Field("grace_ms", m_settings.stop_grace.count());
-  m_peers.SetState(PeerState::kLeaving);
-  m_gossip.Announce(now);
-  m_callers.CloseAfterResponses();
-  m_registry.Leave();
-  const Millis accept_until =
-      m_settings.address_lifetime * kAddressLifetimes + kLeavingNews;
-  m_loop.After(std::min(accept_until, m_settings.stop_grace * 0.6),
-               [this] { StopAccepting(); });
-}
-
-void Node::StopAccepting() {
-  LogEvent("accepting_ended").Field("running", m_dispatcher.running());
-  m_callers.StopAccepting();
-  m_loop.Every(kStopPoll, [this] { FinishStop(); });
-}
-
-void Node::FinishStop() {
-  const Millis now = Poller::Now();
-  if (now >= m_stop_deadline) {
-    m_dispatcher.Stop(now);
-  }
-  if (m_callers.pending() == 0 || now >= m_stop_deadline) {
-    m_loop.Quit();
-  }
-}
-
 }  // namespace tanagervane
--- /dev/null
+++ b/tools/tanagervane-node/node_lifecycle.cc
@@ -0,0 +1,79 @@
+// Reloads and the planned stop of a VM of the tier.
+
+#include <algorithm>
+
+#include "tanagervane/support/log.h"
+#include "tools/tanagervane-node/node.h"
+
+namespace tanagervane {
+
+namespace {
+
+/// Callers keep an address for up to three times the lifetime that the
+/// directory states.
+constexpr double kAddressLifetimes = 3;
+/// How long other VMs may take to stop giving out this VM's address.
+constexpr Millis kLeavingNews{400};
+/// Kept free at the end of the grace time.
+constexpr Millis kStopMargin{400};
+constexpr Millis kStopPoll{40};
+
+}  // namespace
+
+void Node::Reload(const NodeSettings& settings) {
+  m_settings.retries = settings.retries;
+  m_settings.retries.slack_from = m_started_at + settings.retries.window;
+  m_replicas.SetDrainBound(settings.drain_bound);
+  m_settings.stop_grace = settings.stop_grace;
+  m_settings.address_lifetime = settings.address_lifetime;
+  m_settings.max_descriptors = settings.max_descriptors;
+  ApplyLimits(m_dispatcher.plan() ? m_dispatcher.plan()->limits()
+                                  : CallerLimits());
+  m_replicas.SetFleet(m_fleet_size, m_settings.retries);
+  const bool needs_restart =
+      settings.caller_address != m_settings.caller_address ||
+      settings.readiness_address != m_settings.readiness_address ||
+      settings.directory_address != m_settings.directory_address ||
+      settings.store_address != m_settings.store_address;
+  LogEvent("settings_reloaded")
+      .Field("id", m_settings.id)
+      .Field("addresses_changed", needs_restart);
+}
+
+void Node::Stop() {
+  if (m_stopping) {
+    return;
+  }
+  m_stopping = true;
+  const Millis now = Poller::Now();
+  m_stop_deadline = now + m_settings.stop_grace - kStopMargin;
+  LogEvent("stopping")
+      .Field("running", m_dispatcher.running())
+      .Field("grace_ms", m_settings.stop_grace.count());
+  m_peers.SetState(PeerState::kLeaving);
+  m_gossip.Announce(now);
+  m_callers.CloseAfterResponses();
+  m_registry.Leave();
+  const Millis accept_until =
+      m_settings.address_lifetime * kAddressLifetimes + kLeavingNews;
+  m_loop.After(std::min(accept_until, m_settings.stop_grace * 0.6),
+               [this] { StopAccepting(); });
+}
+
+void Node::StopAccepting() {
+  LogEvent("accepting_ended").Field("running", m_dispatcher.running());
+  m_callers.StopAccepting();
+  m_loop.Every(kStopPoll, [this] { FinishStop(); });
+}
+
+void Node::FinishStop() {
+  const Millis now = Poller::Now();
+  if (now >= m_stop_deadline) {
+    m_dispatcher.Stop(now);
+  }
+  if (m_callers.pending() == 0 || now >= m_stop_deadline) {
+    m_loop.Quit();
+  }
+}
+
+}  // namespace tanagervane
--- a/unittests/serving/parts_test.cc
+++ b/unittests/serving/parts_test.cc
@@ -254,7 +254,7 @@
     m_set.SetDrainBound(bound);
     m_set.Apply(Entry("r"), Millis(0));
     m_set.Remove("r", Millis(10000));
-    const Millis news = bound * (1.0 / 6) + Millis(200);
+    const Millis news = bound * kBatchingPartOfDrain + Millis(200);
     m_set.Sweep(Millis(10000) + std::max(bound - news, Millis(0)));
     EXPECT_EQ(InUse(), 0u) << bound.count();
   }
