Notice a deaf watch although other VMs lag as well

A VM reads a kind again when gossip shows that another VM has seen a later change for a while. Each message of a VM that had not seen it took that evidence back, so two VMs with deaf watches hid a change from each other until their watches ended after 15 s. The greatest revision heard of is now remembered; a full read ends it, so that a false claim is read for once.

--- a/include/tanagervane/state/kind_follower.h
+++ b/include/tanagervane/state/kind_follower.h
@@ -92,6 +92,8 @@
   /// All changes up to this revision are known: that of the last full read or
   /// of an event after it.
   uint64_t m_covered = 0;
+  /// The latest change that another VM has seen.
+  uint64_t m_seen_elsewhere = 0;
   /// Since when another VM has known of a later change.
   std::optional<Millis> m_behind_since;
   /// Tells the calls of the current reading from those given up.
--- a/integration/test_platform_soak.py
+++ b/integration/test_platform_soak.py
@@ -11,6 +11,8 @@
 REGRESSIONS = {
     323: "a reload signal during the start ended the process",
     326: "the same, after another sequence of faults",
+    537: "two nodes with deaf watches hid a change from each other",
+    550: "the same",
 }
 
 
--- a/lib/state/kind_follower.cc
+++ b/lib/state/kind_follower.cc
@@ -78,6 +78,8 @@
   }
   m_has_snapshot = true;
   m_covered = std::max(m_covered, m_revision);
+  // A full read leaves nothing to catch up with; a greater claim was false.
+  m_seen_elsewhere = m_covered;
   m_behind_since.reset();
   m_hooks.snapshot(std::exchange(m_pages, {}));
   Watch();
@@ -119,7 +121,10 @@
 }
 
 void KindFollower::OnRevisionElsewhere(uint64_t revision, Millis now) {
-  if (revision <= m_covered || !m_has_snapshot) {
+  // What this VM lags behind is remembered: a VM that lags as well would
+  // otherwise hide it with each of its messages.
+  m_seen_elsewhere = std::max(m_seen_elsewhere, revision);
+  if (m_seen_elsewhere <= m_covered || !m_has_snapshot) {
     m_behind_since.reset();
     return;
   }
--- a/unittests/state/kind_follower_test.cc
+++ b/unittests/state/kind_follower_test.cc
@@ -142,6 +142,33 @@
   EXPECT_TRUE(m_lists.empty());
 }
 
+// Guards against two deaf VMs that hide the change from each other: each tells
+// the other what it has seen itself (soak seeds 537 and 550).
+TEST_F(KindFollowerTest, DeafWatchIsNoticedAlthoughOthersLagToo) {
+  m_follower.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  for (int beat = 0; beat < 2; ++beat) {
+    m_follower.OnRevisionElsewhere(12, Millis(500) * beat);
+    m_follower.OnRevisionElsewhere(9, Millis(500) * beat + Millis(250));
+  }
+  EXPECT_EQ(m_lists.size(), 1u);
+}
+
+// Guards against a full read each second because a message claimed a revision
+// that the store never had.
+TEST_F(KindFollowerTest, FalseRevisionIsReadForOnce) {
+  m_follower.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  m_follower.OnRevisionElsewhere(uint64_t{1} << 60, Millis(0));
+  m_follower.OnRevisionElsewhere(10, Millis(900));
+  ASSERT_EQ(m_lists.size(), 1u);
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  for (int beat = 0; beat < 20; ++beat) {
+    m_follower.OnRevisionElsewhere(10, Millis(1000) + Millis(250) * beat);
+  }
+  EXPECT_TRUE(m_lists.empty());
+}
+
 // Guards against re-reading because of a deletion that only others saw as an
 // event: the list has covered it.
 TEST_F(KindFollowerTest, ListCoversDeletionsThatOthersSaw) {
