Bound what peers that send without end can make a VM hold

Cause: the parser leaves an unfinished element in the receive buffer, and only the size of a header was checked there. A chunk extension, a trailer or a chunk size without end grew until the request's deadline (for callers: for ever, as each byte counts as activity); interim responses were skipped without a count. A full listener closed new connections, so that 600 idle or half-sent ones shut out all other callers, and a rejected caller could send on until the idle timeout.

Change: the readers bound every unfinished element by the header limit and interim responses by 8; responses to other requests by 4. A full listener closes the connection that has been without a request for longest, at the peer that holds most, and the service listeners scale with the descriptors. A body has the idle timeout, a rejected caller one second.

Ruled out: closing idle replica connections (they end at the first unasked byte already); a lower deadline for replicas (the deadline bounds a slow stream).

--- a/include/tanagervane/fleet/replica_connections.h
+++ b/include/tanagervane/fleet/replica_connections.h
@@ -35,11 +35,16 @@
   uint64_t opened = 0;
   uint64_t reused = 0;
   uint64_t open = 0;
+  /// Responses that were no HTTP, had no end or were too large.
+  uint64_t invalid = 0;
 };
 
 class ReplicaConnections {
  public:
-  ReplicaConnections(Poller& poller, ReplicaConnectionsHooks hooks);
+  /// Unfinished responses hold at most `response_bytes` together.
+  ReplicaConnections(Poller& poller,
+                     size_t response_bytes,
+                     ReplicaConnectionsHooks hooks);
   ~ReplicaConnections();
   ReplicaConnections(const ReplicaConnections&) = delete;
   ReplicaConnections& operator=(const ReplicaConnections&) = delete;
@@ -84,6 +89,7 @@
 
   Poller& m_poller;
   ReplicaConnectionsHooks m_hooks;
+  ReceiveBudget m_budget;
   ReplicaConnectionStats m_stats;
   std::unordered_map<uint64_t, std::unique_ptr<Connection>> m_busy;
   /// By the replica's key.
--- a/include/tanagervane/http/reader.h
+++ b/include/tanagervane/http/reader.h
@@ -17,7 +17,8 @@
   kInvalid,     ///< The bytes are no message; the connection is of no use.
 };
 
-/// Bounds on what a sender may send.
+/// Bounds on what a sender may send. `header_bytes` also bounds a trailer and a
+/// chunk's size line.
 struct MessageLimits {
   size_t header_bytes = 16384;
   size_t body_bytes = 1 << 20;
@@ -91,6 +92,7 @@
 
   MessageLimits m_limits;
   bool m_head;
+  int m_interim = 0;
   std::unique_ptr<Parser> m_parser;
 };
 
--- a/include/tanagervane/net/http_connection.h
+++ b/include/tanagervane/net/http_connection.h
@@ -14,6 +14,7 @@
 #include "tanagervane/http/message.h"
 #include "tanagervane/http/reader.h"
 #include "tanagervane/net/poller.h"
+#include "tanagervane/net/receive_budget.h"
 #include "tanagervane/support/millis.h"
 
 namespace tanagervane {
@@ -61,6 +62,11 @@
   /// silent is noticed within a few seconds while a response is awaited.
   void EnableKeepAliveProbes();
 
+  /// Counts the bytes of unfinished responses against a budget that other
+  /// connections share; a response that it does not allow is invalid. The
+  /// budget must outlive the connection.
+  void SetBudget(ReceiveBudget* budget) { m_budget = budget; }
+
   /// After a response: whether another request may be sent.
   bool reusable() const { return m_reusable; }
 
@@ -77,6 +83,9 @@
   void Parse();
   void Write();
   ExchangeError LossError() const;
+  /// Counts received bytes; false when the response may not grow further.
+  bool TakeBudget(size_t bytes);
+  void ReleaseBudget();
   void Fail(ExchangeError error);
   void CloseIdle();
   void Finish(ExchangeResult result);
@@ -96,6 +105,11 @@
   bool m_head = false;
   BelongsHook m_belongs;
   Done m_done;
+  ReceiveBudget* m_budget = nullptr;
+  /// Bytes received since the request, as counted in the budget.
+  size_t m_held = 0;
+  /// Responses to other requests since the request.
+  int m_foreign = 0;
 };
 
 }  // namespace tanagervane
--- a/include/tanagervane/net/http_listener.h
+++ b/include/tanagervane/net/http_listener.h
@@ -25,8 +25,11 @@
   MessageLimits limits;
   /// How long a header may take to arrive.
   Millis header_timeout{3000};
-  /// How long a connection may stay without a request.
+  /// How long a connection may stay without a request, and how long a body may
+  /// take after its header.
   Millis idle_timeout{15000};
+  /// When that many are open, a new connection takes the place of the one that
+  /// has been without a request for longest, at the peer with the most.
   size_t max_connections = 1000;
 };
 
@@ -43,6 +46,8 @@
   uint64_t accepted = 0;
   uint64_t requests = 0;
   uint64_t rejected = 0;
+  /// Connections without a running request that made room for others.
+  uint64_t evicted = 0;
   size_t connections = 0;
 };
 
@@ -82,6 +87,8 @@
   class Connection;
 
   void Accept();
+  /// Closes a connection that runs no request. False when there is none.
+  bool MakeRoom();
   void Drop(uint64_t connection);
 
   Poller& m_poller;
@@ -91,6 +98,8 @@
   int m_descriptor = -1;
   bool m_closing = false;
   uint64_t m_next_connection = 0;
+  /// Open connections by the peer's address, in network byte order.
+  std::unordered_map<uint32_t, size_t> m_by_peer;
   std::unordered_map<uint64_t, std::unique_ptr<Connection>> m_connections;
   /// Connections dropped while one of their hooks may still run.
   std::vector<std::unique_ptr<Connection>> m_dropped;
--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -53,9 +53,40 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+class Endless:
+    """A reply that does not end until the caller closes: `start`, then `piece`
+    again and again, with a pause after each when `pause_s` is set."""
+
+    def __init__(self, start, piece, pause_s=0.0):
+        self.start = start
+        self.piece = piece
+        self.pause_s = pause_s
+
+    async def write(self, writer):
+        writer.write(self.start)
+        while not writer.is_closing():
+            writer.write(self.piece)
+            await writer.drain()
+            await asyncio.sleep(self.pause_s)
+
+
+ENDLESS = {
+    "endless_garbage": Endless(b"", b"no answer " * 400),
+    "endless_head": Endless(b"HTTP/1.1 200 OK\r\nX: ", b"x" * 4096),
+    "endless_fields": Endless(b"HTTP/1.1 200 OK\r\n", b"X: y\r\n" * 600),
+    "endless_interim": Endless(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 200),
+    "endless_body": Endless(b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 4096),
+    "endless_chunk": Endless(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        b"x" * 4096),
+    "slow_head": Endless(b"HTTP/1.1 200 OK\r\nX: ", b"x", 0.02),
+    "slow_body": Endless(b"HTTP/1.1 200 OK\r\n\r\n", b"x", 0.02),
+}
+
+
 class Server:
-    """Accepts connections; `answer` maps a request to bytes or None, which
-    closes the connection."""
+    """Accepts connections; `answer` maps a request to bytes, an Endless, or
+    None, which closes the connection."""
 
     def __init__(self, platform, port=0):
         self.platform = platform
@@ -82,6 +113,9 @@
                 reply = await self.answer(request)
                 if reply is None:
                     return
+                if isinstance(reply, Endless):
+                    await reply.write(writer)
+                    return
                 writer.write(reply)
                 await writer.drain()
         except ConnectionError:
@@ -114,6 +148,8 @@
         # Writes are done and not answered; answers come late.
         self.lose = False
         self.delay_s = 0
+        # The name of an endless reply to every call.
+        self.endless = None
         super().__init__(platform)
 
     def put(self, kind, name, spec):
@@ -149,6 +185,8 @@
             await asyncio.sleep(3600)
         if self.refuse:
             return response(503)
+        if self.endless:
+            return ENDLESS[self.endless]
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         parts = request.path.split("/")[3:]
@@ -244,6 +282,8 @@
             return response(503, b"", self.headers(request) +
                             [("Not-Executed", "1")])
         self.ran.append(request.headers.get("request-id"))
+        if self.mode in ENDLESS:
+            return ENDLESS[self.mode]
         if self.mode == "reset":
             return None
         if self.mode == "silent":
--- a/lib/fleet/replica_connections.cc
+++ b/lib/fleet/replica_connections.cc
@@ -27,7 +27,7 @@
 constexpr Millis kKeepAliveMargin{1000};
 
 constexpr MessageLimits kResponseLimits = {.header_bytes = 32768,
-                                           .body_bytes = 8 << 20};
+                                           .body_bytes = 4 << 20};
 
 Millis KeepAliveTime(const HttpResponseMessage& response) {
   const std::string* value = response.fields.Find("Keep-Alive");
@@ -53,8 +53,9 @@
 }  // namespace
 
 ReplicaConnections::ReplicaConnections(Poller& poller,
+                                       size_t response_bytes,
                                        ReplicaConnectionsHooks hooks)
-    : m_poller(poller), m_hooks(std::move(hooks)) {}
+    : m_poller(poller), m_hooks(std::move(hooks)), m_budget(response_bytes) {}
 
 ReplicaConnections::~ReplicaConnections() = default;
 
@@ -88,6 +89,7 @@
   connection->http = std::make_unique<HttpConnection>(
       m_poller, *address, kResponseLimits, kSilenceLimit,
       [this, key = replica->key, raw] { OnIdleClosed(key, raw); });
+  connection->http->SetBudget(&m_budget);
   ++m_stats.opened;
   return connection;
 }
@@ -122,6 +124,7 @@
   assert(it != m_busy.end() && "an abandoned exchange has no connection");
   std::unique_ptr<Connection> connection = std::move(it->second);
   m_busy.erase(it);
+  m_stats.invalid += result.error == ExchangeError::kInvalid ? 1 : 0;
   KeepOrClose(std::move(connection), result, Poller::Now());
   m_hooks.done(exchange, std::move(result));
 }
--- a/lib/http/reader.cc
+++ b/lib/http/reader.cc
@@ -17,6 +17,9 @@
 
 namespace http = boost::beast::http;
 
+/// Interim responses before the final one.
+constexpr int kMostInterim = 8;
+
 std::string_view ToView(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
@@ -84,9 +87,13 @@
   if (error) {
     return Fail(400);
   }
+  // The parser leaves an unfinished element in the buffer: a header, a chunk's
+  // size with its extension, or a trailer.
+  if (!beast.is_done() && buffer.size() > m_limits.header_bytes) {
+    return Fail(beast.is_header_done() ? 400 : 431);
+  }
   if (!beast.is_header_done()) {
-    return buffer.size() > m_limits.header_bytes ? Fail(431)
-                                                 : ReadState::kIncomplete;
+    return ReadState::kIncomplete;
   }
   // Any other coding would leave it open where the request ends.
   const auto coding = beast.get().find(http::field::transfer_encoding);
@@ -158,10 +165,12 @@
       return ReadState::kInvalid;
     }
     if (!beast.is_done()) {
-      return ReadState::kIncomplete;
+      // An element that never ends is left in the buffer.
+      return buffer.size() > m_limits.header_bytes ? ReadState::kInvalid
+                                                   : ReadState::kIncomplete;
     }
     const unsigned status = beast.get().result_int();
-    if (status == 101) {
+    if (status == 101 || (status < 200 && ++m_interim > kMostInterim)) {
       return ReadState::kInvalid;
     }
     if (status >= 200) {
--- a/lib/net/http_connection.cc
+++ b/lib/net/http_connection.cc
@@ -19,6 +19,9 @@
 
 constexpr size_t kReadBytes = 65536;
 
+/// Responses to earlier requests that are skipped before the one that belongs.
+constexpr int kMostForeign = 4;
+
 }  // namespace
 
 HttpConnection::HttpConnection(Poller& poller,
@@ -41,6 +44,7 @@
 }
 
 HttpConnection::~HttpConnection() {
+  ReleaseBudget();
   if (m_descriptor >= 0) {
     m_poller.Remove(m_descriptor);
     close(m_descriptor);
@@ -56,6 +60,7 @@
   m_head = head;
   m_belongs = std::move(belongs);
   m_done = std::move(done);
+  m_foreign = 0;
   m_reader = std::make_unique<HttpResponseReader>(m_limits, head);
   if (m_connected) {
     Write();
@@ -127,10 +132,29 @@
     return;
   }
   m_received = true;
+  if (!TakeBudget(static_cast<size_t>(count))) {
+    Fail(ExchangeError::kInvalid);
+    return;
+  }
   m_input.append(bytes.data(), static_cast<size_t>(count));
   Parse();
 }
 
+bool HttpConnection::TakeBudget(size_t bytes) {
+  if (m_budget == nullptr) {
+    return true;
+  }
+  m_held += bytes;
+  m_budget->Take(bytes);
+  return m_budget->Allows(m_held);
+}
+
+void HttpConnection::ReleaseBudget() {
+  if (m_budget != nullptr) {
+    m_budget->Release(std::exchange(m_held, 0));
+  }
+}
+
 void HttpConnection::ReadEnd() {
   m_reusable = false;
   if (m_reader->FeedEnd() != ReadState::kComplete) {
@@ -167,6 +191,10 @@
     }
     // A late response to an earlier request; the next one may be ours.
     m_reusable = false;
+    if (++m_foreign > kMostForeign) {
+      Fail(ExchangeError::kInvalid);
+      return;
+    }
     m_reader = std::make_unique<HttpResponseReader>(m_limits, m_head);
   }
 }
@@ -195,6 +223,7 @@
 
 void HttpConnection::Finish(ExchangeResult result) {
   m_reader.reset();
+  ReleaseBudget();
   const Done done = std::exchange(m_done, nullptr);
   done(std::move(result));
 }
--- a/lib/net/http_listener.cc
+++ b/lib/net/http_listener.cc
@@ -23,6 +23,10 @@
 /// Bytes of later requests that a connection may send ahead.
 constexpr size_t kPipelinedBytes = 65536;
 
+/// A caller whose bytes were no request may send on for this long before its
+/// connection is closed, so that it can read why.
+constexpr Millis kLingerTime{1000};
+
 /// The exchange id of the n-th request of a connection. A connection's
 /// requests come one at a time, so the counter only tells old from new.
 constexpr unsigned kSequenceBits = 20;
@@ -32,10 +36,11 @@
 
 class HttpListener::Connection {
  public:
-  Connection(HttpListener& owner, uint64_t id, int descriptor)
+  Connection(HttpListener& owner, uint64_t id, int descriptor, uint32_t peer)
       : m_owner(owner),
         m_id(id),
         m_descriptor(descriptor),
+        m_peer(peer),
         m_reader(owner.m_options.limits),
         m_since(Poller::Now()) {
     m_owner.m_poller.Add(m_descriptor, m_events,
@@ -59,6 +64,9 @@
            m_input.empty();
   }
   bool busy() const { return m_waiting || !m_output.empty(); }
+  uint32_t peer() const { return m_peer; }
+  /// When it last completed something, or was opened.
+  Millis unused_since() const { return m_unused_since; }
   ExchangeId exchange() const {
     return (m_id << kSequenceBits) | (m_sequence & kSequenceMask);
   }
@@ -68,6 +76,7 @@
     m_close_after = m_close_after || m_owner.m_closing;
     AppendResponse(m_output, response, m_close_after, m_head);
     m_since = Poller::Now();
+    m_unused_since = m_since;
     Write();
   }
 
@@ -76,14 +85,28 @@
       return;
     }
     const HttpListenerOptions& options = m_owner.m_options;
-    if (m_reader.in_header() && now - m_header_since > options.header_timeout) {
+    if (m_discarding) {
+      if (m_output.empty() && now - m_discard_since > kLingerTime) {
+        m_owner.Drop(m_id);
+        return;
+      }
+    } else if (m_reader.in_message() &&
+               now - m_message_since > MessageTimeLimit()) {
       Reject(408);
-    } else if (now - m_since > options.idle_timeout) {
+      return;
+    }
+    if (now - m_since > options.idle_timeout) {
       m_owner.Drop(m_id);
     }
   }
 
  private:
+  Millis MessageTimeLimit() const {
+    const HttpListenerOptions& options = m_owner.m_options;
+    return m_reader.in_header() ? options.header_timeout
+                                : options.header_timeout + options.idle_timeout;
+  }
+
   void OnEvents(uint32_t events) {
     if ((events & (EPOLLERR | EPOLLHUP)) != 0) {
       Gone();
@@ -127,7 +150,7 @@
   void Parse() {
     if (!m_reader.in_message()) {
       m_reader.SetLimits(m_owner.m_options.limits);
-      m_header_since = Poller::Now();
+      m_message_since = Poller::Now();
     }
     m_since = Poller::Now();
     switch (m_reader.Feed(m_input)) {
@@ -161,7 +184,7 @@
     response.status = status;
     AppendResponse(m_output, response, true, false);
     m_input.clear();
-    m_discarding = true;
+    StartDiscarding();
     Write();
   }
 
@@ -195,12 +218,19 @@
     }
   }
 
+  void StartDiscarding() {
+    if (!m_discarding) {
+      m_discarding = true;
+      m_discard_since = Poller::Now();
+    }
+  }
+
   /// Ends the sending side first: closing with unread bytes would reset the
   /// connection and could destroy the response on its way.
   void FinishOutput() {
     if (m_reader.in_message() || m_discarding || !m_input.empty()) {
       shutdown(m_descriptor, SHUT_WR);
-      m_discarding = true;
+      StartDiscarding();
       return;
     }
     m_owner.Drop(m_id);
@@ -226,6 +256,7 @@
   HttpListener& m_owner;
   uint64_t m_id;
   int m_descriptor;
+  uint32_t m_peer;
   uint32_t m_events = EPOLLIN | EPOLLRDHUP;
   HttpRequestReader m_reader;
   std::string m_input;
@@ -237,7 +268,9 @@
   uint64_t m_sequence = 0;
   /// Last sign of activity.
   Millis m_since;
-  Millis m_header_since;
+  Millis m_unused_since = m_since;
+  Millis m_message_since;
+  Millis m_discard_since;
 };
 
 HttpListener::HttpListener(Poller& poller,
@@ -272,30 +305,69 @@
 
 void HttpListener::Accept() {
   while (true) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
     const int descriptor =
-        accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        accept4(m_descriptor, reinterpret_cast<sockaddr*>(&peer), &size,
+                SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor < 0) {
+      const bool out_of_descriptors = errno == EMFILE || errno == ENFILE;
+      if (out_of_descriptors && MakeRoom()) {
+        continue;
+      }
       return;
     }
-    if (m_connections.size() >= m_options.max_connections) {
+    if (m_connections.size() >= m_options.max_connections && !MakeRoom()) {
       close(descriptor);
       ++m_stats.rejected;
       continue;
     }
     SetNoDelay(descriptor);
     const uint64_t id = ++m_next_connection;
-    m_connections[id] = std::make_unique<Connection>(*this, id, descriptor);
+    m_connections[id] = std::make_unique<Connection>(*this, id, descriptor,
+                                                     peer.sin_addr.s_addr);
+    ++m_by_peer[peer.sin_addr.s_addr];
     ++m_stats.accepted;
     m_stats.connections = m_connections.size();
   }
 }
 
+bool HttpListener::MakeRoom() {
+  const Connection* chosen = nullptr;
+  uint64_t chosen_id = 0;
+  size_t chosen_held = 0;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection->busy()) {
+      continue;
+    }
+    const size_t held = m_by_peer.at(connection->peer());
+    const bool better = chosen == nullptr || held > chosen_held ||
+                        (held == chosen_held &&
+                         connection->unused_since() < chosen->unused_since());
+    if (better) {
+      chosen = connection.get();
+      chosen_id = id;
+      chosen_held = held;
+    }
+  }
+  if (chosen == nullptr) {
+    return false;
+  }
+  ++m_stats.evicted;
+  Drop(chosen_id);
+  return true;
+}
+
 void HttpListener::Drop(uint64_t connection) {
   const auto it = m_connections.find(connection);
   if (it == m_connections.end()) {
     return;
   }
   it->second->Close();
+  if (const auto peer = m_by_peer.find(it->second->peer());
+      --peer->second == 0) {
+    m_by_peer.erase(peer);
+  }
   // The connection may be on the stack, so it is deleted in Sweep().
   m_dropped.push_back(std::move(it->second));
   m_connections.erase(it);
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -34,26 +34,41 @@
 /// Addresses in one answer; those of the caller's data centre come first.
 constexpr size_t kMostAddresses = 64;
 
-/// Small requests of the platform and of scrapers.
-constexpr HttpListenerOptions kServiceListener = {
-    .limits = {.header_bytes = 8192, .body_bytes = 4096},
-    .header_timeout = Millis(2000),
-    .idle_timeout = Millis(20'000),
-    .max_connections = 500};
+/// Each listener besides that of the callers may use this part of the
+/// descriptors.
+constexpr size_t kServiceDescriptorPart = 12;
+constexpr size_t kMostServiceConnections = 500;
+
+/// Unfinished responses of replicas may hold this part of the memory.
+constexpr size_t kResponseMemoryPart = 4;
+constexpr size_t kBytesPerMegabyte = 1 << 20;
 
 /// Probes share the exchange ids with attempts.
 constexpr uint64_t kProbeBit = uint64_t{1} << 63;
 
+/// Descriptors for connections.
+size_t UsableDescriptors(const NodeSettings& settings) {
+  return std::max(settings.max_descriptors, 2 * kReservedDescriptors) -
+         kReservedDescriptors;
+}
+
+/// Small requests of the platform and of scrapers.
+HttpListenerOptions ServiceOptions(const NodeSettings& settings) {
+  return {.limits = {.header_bytes = 8192, .body_bytes = 4096},
+          .header_timeout = Millis(2000),
+          .idle_timeout = Millis(20'000),
+          .max_connections =
+              std::min(UsableDescriptors(settings) / kServiceDescriptorPart,
+                       kMostServiceConnections)};
+}
+
 HttpListenerOptions CallerOptions(const NodeSettings& settings,
                                   const CallerLimits& limits) {
   HttpListenerOptions options;
   options.limits = {limits.header_bytes, limits.body_bytes};
   options.header_timeout = limits.header_timeout;
   options.idle_timeout = limits.idle_timeout;
-  const size_t usable =
-      std::max(settings.max_descriptors, 2 * kReservedDescriptors) -
-      kReservedDescriptors;
-  options.max_connections = usable / kCallerDescriptorPart;
+  options.max_connections = UsableDescriptors(settings) / kCallerDescriptorPart;
   return options;
 }
 
@@ -115,15 +130,19 @@
                    m_replicas,
                    m_quarantine,
                    MakeDispatcherHooks()),
-      m_connections(m_poller,
-                    {.done =
-                         [this](uint64_t exchange, ExchangeResult result) {
-                           OnExchangeDone(exchange, std::move(result));
-                         }}),
+      m_connections(
+          m_poller,
+          m_settings.memory_mb * kBytesPerMegabyte / kResponseMemoryPart,
+          {.done =
+               [this](uint64_t exchange, ExchangeResult result) {
+                 OnExchangeDone(exchange, std::move(result));
+               }}),
       m_callers(m_poller, CallerOptions(m_settings, {}), CallerHooks()),
-      m_readiness(m_poller, kServiceListener, ReadinessHooks()),
-      m_directory_listener(m_poller, kServiceListener, DirectoryHooks()),
-      m_metrics_listener(m_poller, kServiceListener, MetricsHooks()),
+      m_readiness(m_poller, ServiceOptions(m_settings), ReadinessHooks()),
+      m_directory_listener(m_poller,
+                           ServiceOptions(m_settings),
+                           DirectoryHooks()),
+      m_metrics_listener(m_poller, ServiceOptions(m_settings), MetricsHooks()),
       m_peers(MakeSelf(m_settings, incarnation), incarnation),
       m_directory(m_peers, incarnation),
       m_gossip(m_poller, m_peers, m_quarantine, GossipHooks()),
@@ -367,6 +386,12 @@
         static_cast<double>(m_dispatcher.running()));
   level("tanagervane_caller_connections", "Open connections of callers.",
         static_cast<double>(m_callers.stats().connections));
+  total("tanagervane_caller_connections_evicted_total",
+        "Connections of callers without a request that made room for others.",
+        m_callers.stats().evicted);
+  total("tanagervane_replica_responses_invalid_total",
+        "Responses of replicas that were no HTTP or had no end.",
+        m_connections.stats().invalid);
   level("tanagervane_open_replica_connections", "Open connections to replicas.",
         static_cast<double>(m_connections.stats().open));
   level("tanagervane_replicas", "Known replicas.",
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -83,6 +83,8 @@
   settings.store_address = json.Text("store_address");
   settings.max_descriptors =
       static_cast<size_t>(json.Integer("max_descriptors", 64));
+  settings.memory_mb = static_cast<size_t>(json.IntegerOr(
+      "memory_mb", static_cast<int64_t>(settings.memory_mb), 16));
   ReadListeners(json, settings);
   ReadBounds(json, settings);
   ReadPolicy(json, settings);
--- a/tools/tanagervane-node/settings.h
+++ b/tools/tanagervane-node/settings.h
@@ -29,6 +29,8 @@
   std::string store_address;
   /// Descriptors that the process may have.
   size_t max_descriptors = 1024;
+  /// Memory that the process may use.
+  size_t memory_mb = 256;
   /// Time between the stop signal and the end of the process.
   Millis stop_grace{6000};
   /// How long callers may use an address that the directory gave.
--- a/unittests/http/reader_test.cc
+++ b/unittests/http/reader_test.cc
@@ -169,5 +169,88 @@
   EXPECT_FALSE(IsHopByHop("X-Other", "close, x-mine"));
 }
 
+/// Bytes that a peer may make a reader hold: what it buffers of an unfinished
+/// element, and one more piece.
+constexpr size_t kPieceBytes = 100;
+constexpr size_t kMostHeld = 512 + 2 * kPieceBytes;
+constexpr size_t kEndless = 100'000;
+
+/// Feeds `start` and then `piece` without end. Returns whether the reader gave
+/// up before kEndless bytes, holding no more than kMostHeld at any time.
+template <typename Reader>
+bool GivesUp(Reader& reader, std::string start, std::string_view piece) {
+  std::string buffer = std::move(start);
+  std::string repeated;
+  while (repeated.size() + piece.size() <= kPieceBytes) {
+    repeated += piece;
+  }
+  for (size_t fed = 0; fed < kEndless; fed += repeated.size()) {
+    if (reader.Feed(buffer) != ReadState::kIncomplete) {
+      return true;
+    }
+    if (buffer.size() > kMostHeld) {
+      return false;
+    }
+    buffer += repeated;
+  }
+  return false;
+}
+
+struct EndlessBytes {
+  const char* what;
+  const char* start;
+  const char* piece;
+};
+
+// Guards against peers that send without end: bytes that never complete an
+// element of a message are buffered, and must not fill the memory.
+TEST(ResponseReaderTest, BytesWithoutEndAreGivenUp) {
+  constexpr EndlessBytes kCases[] = {
+      {"no protocol", "", "x"},
+      {"line ends", "", "\r\n"},
+      {"reason phrase", "HTTP/1.1 200 ", "x"},
+      {"field name", "HTTP/1.1 200 OK\r\n", "x"},
+      {"field value", "HTTP/1.1 200 OK\r\nA: ", "x"},
+      {"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"body until close", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+      {"body beyond its length",
+       "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n", "x"},
+      {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "1\r\nx\r\n"},
+      {"chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "0"},
+      {"chunk extension",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+      {"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       "A: b\r\n"},
+  };
+  for (const EndlessBytes& bytes : kCases) {
+    HttpResponseReader reader(kLimits, false);
+    EXPECT_TRUE(GivesUp(reader, bytes.start, bytes.piece)) << bytes.what;
+  }
+}
+
+// The same for callers.
+TEST(RequestReaderTest, BytesWithoutEndAreGivenUp) {
+  constexpr EndlessBytes kCases[] = {
+      {"method", "", "x"},
+      {"target", "GET /", "x"},
+      {"fields", "GET / HTTP/1.1\r\n", "A: b\r\n"},
+      {"body", "POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n", "x"},
+      {"chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "1\r\nx\r\n"},
+      {"chunk extension",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+      {"trailer", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       "A: b\r\n"},
+  };
+  for (const EndlessBytes& bytes : kCases) {
+    HttpRequestReader reader(kLimits);
+    EXPECT_TRUE(GivesUp(reader, bytes.start, bytes.piece)) << bytes.what;
+    EXPECT_NE(reader.error_status(), 0u) << bytes.what;
+  }
+}
+
 }  // namespace
 }  // namespace tanagervane
