Leave out parts that queue past the answer; weigh rejections by the allowance

Load: a few shards are beyond their capacity (one replica left, or most rejecting) while each request can do without one or two parts.

Cause: each request was sent to every shard, so a full shard's queue grew until all its answers were late; with two full shards the request was refused as overloaded although either could have been missing.

Change: admission is a module of its own. It refuses as before, and names the parts whose wait for a slot ends after the answer has left: as many as the answer can do without, the longest wait first; they are not sent (switch: skipping). The expected cost of a rejection grows with the part of the allowance that is spent, up to the objective.

--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -14,6 +14,7 @@
 
 #include "tanagervane/routing/quarantine.h"
 #include "tanagervane/routing/types.h"
+#include "tanagervane/serving/admission.h"
 #include "tanagervane/serving/exchange.h"
 #include "tanagervane/serving/plan.h"
 #include "tanagervane/serving/replica_chooser.h"
@@ -167,9 +168,7 @@
   /// What is left of the objective when the caller's earlier tries count.
   static Millis ObjectiveLeft(const PlannedRoute& route,
                               const CallerRequest& caller);
-  std::optional<AnswerReason> Admit(const Request& request,
-                                    Millis now,
-                                    Millis& retry_after) const;
+  Admission Admit(const Request& request, Millis now) const;
   void Refuse(RequestKey key,
               const CallerRequest& caller,
               AnswerKind kind,
@@ -225,6 +224,7 @@
   void MarkAnswering(ServingReplica& replica, Millis now);
   void AbandonDue(Millis now);
   static Millis HedgeDelay(const Request& request, Millis now);
+  static AttemptProfile ProfileOf(const PlannedRoute& route);
   Request* FindOpen(const Attempt& attempt, uint64_t id);
 
   DispatcherOptions m_options;
--- a/include/tanagervane/serving/exchange.h
+++ b/include/tanagervane/serving/exchange.h
@@ -113,6 +113,7 @@
     kNoReplica,
     kNoRoom,
     kNoAllowance,
+    kSkipped,
   };
   What what = What::kSent;
   uint16_t part = 0;
--- a/include/tanagervane/serving/replica_chooser.h
+++ b/include/tanagervane/serving/replica_chooser.h
@@ -8,6 +8,7 @@
 #include <span>
 #include <string>
 
+#include "tanagervane/serving/admission.h"
 #include "tanagervane/serving/replica_set.h"
 #include "tanagervane/support/millis.h"
 #include "tanagervane/support/random.h"
@@ -20,6 +21,7 @@
   bool reported_load = true;
   bool slowness = true;
   bool admission = true;
+  bool skipping = true;
   bool local_first = true;
 };
 
@@ -31,6 +33,14 @@
   Millis total;
 };
 
+/// What is known of an attempt before it is sent.
+struct AttemptProfile {
+  /// The usual latency of an attempt of the route.
+  Millis usual;
+  /// The time within which the request's answer is on time.
+  Millis objective;
+};
+
 class ReplicaChooser {
  public:
   ReplicaChooser(ServingPolicy policy, std::string data_centre, uint64_t seed);
@@ -42,16 +52,20 @@
   /// in flight, or it would need a new connection and the replica takes none.
   static bool IsFull(const ServingReplica& replica, Millis now);
 
-  /// `usual` is the usual latency of an attempt of the route.
   ExpectedTime Expect(const ServingReplica& replica,
-                      Millis usual,
+                      const AttemptProfile& profile,
+                      Millis now) const;
+
+  /// The shortest wait among the usable replicas.
+  PartOutlook Outlook(const Service& service,
+                      const AttemptProfile& profile,
                       Millis now) const;
 
   /// The usable replica with the shortest expected time that is not full and
   /// not in `exclude`, or nullptr.
   std::shared_ptr<ServingReplica> Choose(
       const Service& service,
-      Millis usual,
+      const AttemptProfile& profile,
       std::span<const ServingReplica* const> exclude,
       Millis now);
 
--- a/include/tanagervane/serving/retry_allowance.h
+++ b/include/tanagervane/serving/retry_allowance.h
@@ -39,6 +39,9 @@
 
   void OnRequest(Millis now);
 
+  /// The part of the allowance that is spent, in [0, 1].
+  double UsedPart(Millis now) const;
+
   /// Counts an extra send and returns true when the allowance covers it.
   bool TryTake(ExtraSend kind, Millis now);
 
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -49,8 +49,6 @@
 constexpr Millis kSilentAfter{600};
 constexpr double kSilentLatencies = 4;
 
-/// Callers told to come back sooner would meet the same replicas.
-constexpr Millis kNoReplicaRetryAfter{400};
 /// Another VM knows the configuration, or this one soon will.
 constexpr Millis kNoConfigRetryAfter{50};
 constexpr Millis kShortRetryAfter{60};
@@ -143,11 +141,17 @@
   for (const Part& part : request.parts) {
     part.service->allowance.OnRequest(now);
   }
-  Millis retry_after;
-  if (const auto reason = Admit(request, now, retry_after)) {
-    Refuse(key, *caller, AnswerKind::kRefused, *reason, retry_after, route);
+  const Admission admission = Admit(request, now);
+  if (admission.refusal) {
+    Refuse(key, *caller, AnswerKind::kRefused, *admission.refusal,
+           admission.retry_after, route);
     return;
   }
+  for (const size_t index : admission.skipped) {
+    request.trace.push_back({TraceEvent::What::kSkipped,
+                             static_cast<uint16_t>(index), Millis(0), nullptr});
+    GiveUp(request, index, AnswerReason::kOverloaded);
+  }
   request.caller = std::move(caller);
   request.timer = request.deadline;
   m_timers.emplace(request.timer.count(), key);
@@ -155,45 +159,23 @@
   Advance(request, now);
 }
 
-std::optional<AnswerReason> Dispatcher::Admit(const Request& request,
-                                              Millis now,
-                                              Millis& retry_after) const {
+Admission Dispatcher::Admit(const Request& request, Millis now) const {
   const RouteSpec& spec = request.route->spec;
-  const Millis usual = request.route->stats->attempts.median();
-  const double wait_part =
-      spec.priority <= kUrgentPriority ? kUrgentWaitPart : kPatientWaitPart;
-  const Millis longest_wait = spec.objective * wait_part;
-  uint32_t available = 0;
-  std::vector<Millis> waits;
+  const AttemptProfile profile = ProfileOf(*request.route);
+  std::vector<PartOutlook> outlooks;
+  outlooks.reserve(request.parts.size());
   for (const Part& part : request.parts) {
-    std::optional<Millis> shortest;
-    for (const auto& replica : part.service->replicas) {
-      if (!ReplicaChooser::IsUsable(*replica)) {
-        continue;
-      }
-      const Millis wait = m_chooser.Expect(*replica, usual, now).wait;
-      shortest = shortest ? std::min(*shortest, wait) : wait;
-    }
-    available += shortest ? 1 : 0;
-    if (shortest) {
-      waits.push_back(*shortest);
-    }
-  }
-  const uint32_t needed = request.route->needed_parts;
-  if (available < needed) {
-    retry_after = kNoReplicaRetryAfter;
-    return AnswerReason::kNoReplica;
+    outlooks.push_back(m_chooser.Outlook(*part.service, profile, now));
   }
-  if (!m_options.policy.admission) {
-    return std::nullopt;
-  }
-  const auto decisive = waits.begin() + (needed - 1);
-  std::nth_element(waits.begin(), decisive, waits.end());
-  if (*decisive <= longest_wait) {
-    return std::nullopt;
-  }
-  retry_after = std::max(*decisive - longest_wait, kShortRetryAfter);
-  return AnswerReason::kOverloaded;
+  const double wait_part =
+      spec.priority <= kUrgentPriority ? kUrgentWaitPart : kPatientWaitPart;
+  AdmissionLimits limits;
+  limits.needed_parts = request.route->needed_parts;
+  limits.longest_wait =
+      m_options.policy.admission ? spec.objective * wait_part : spec.timeout;
+  limits.on_time =
+      m_options.policy.skipping ? request.answer_by - now : Millis(0);
+  return tanagervane::Admit(outlooks, limits);
 }
 
 void Dispatcher::Refuse(RequestKey key,
@@ -255,7 +237,7 @@
     return;
   }
   const auto replica = m_chooser.Choose(
-      *part.service, request.route->stats->attempts.median(), part.tried, now);
+      *part.service, ProfileOf(*request.route), part.tried, now);
   if (!replica) {
     const bool has_full =
         std::ranges::any_of(part.service->replicas, [&](const auto& candidate) {
@@ -301,7 +283,8 @@
   if (part.reached >= route.spec.attempts || now + median > request.deadline) {
     return;
   }
-  const auto replica = m_chooser.Choose(*part.service, median, part.tried, now);
+  const auto replica =
+      m_chooser.Choose(*part.service, ProfileOf(route), part.tried, now);
   if (!replica || !part.service->allowance.TryTake(ExtraSend::kHedge, now)) {
     part.hedge_at = now + HedgeDelay(request, now) * kHedgeRecheck;
     return;
@@ -310,6 +293,11 @@
   Send(request, index, replica, TraceEvent::What::kHedged, now);
 }
 
+AttemptProfile Dispatcher::ProfileOf(const PlannedRoute& route) {
+  return {.usual = route.stats->attempts.median(),
+          .objective = route.spec.objective};
+}
+
 Millis Dispatcher::HedgeDelay(const Request& request, Millis now) {
   const LatencyWindow& attempts = request.route->stats->attempts;
   const Millis median = attempts.median();
--- a/lib/serving/exchange.cc
+++ b/lib/serving/exchange.cc
@@ -78,6 +78,8 @@
       return "no_replica";
     case TraceEvent::What::kNoRoom:
       return "no_room";
+    case TraceEvent::What::kSkipped:
+      return "skipped";
     case TraceEvent::What::kNoAllowance:
       break;
   }
--- a/lib/serving/replica_chooser.cc
+++ b/lib/serving/replica_chooser.cc
@@ -98,8 +98,9 @@
 }
 
 ExpectedTime ReplicaChooser::Expect(const ServingReplica& replica,
-                                    Millis usual,
+                                    const AttemptProfile& profile,
                                     Millis now) const {
+  const Millis usual = profile.usual;
   const Millis run = usual * Slowness(replica, now);
   const double slots = std::max<uint32_t>(1, replica.entry.slots);
   const double load = EstimatedLoad(replica, now);
@@ -109,7 +110,11 @@
   expected.total += usual * (kContentionCost * load / slots);
   const double errors =
       replica.error_share * Fade(now - replica.error_at, kErrorMemory);
+  // What fails is sent again, unless the allowance for that is spent; then the
+  // answer comes without this part.
+  const double scarcity = replica.service->allowance.UsedPart(now);
   expected.total += usual * (errors * kFailureCost);
+  expected.total += profile.objective * (errors * scarcity);
   if (replica.overdue) {
     expected.total += usual * kOverdueCost;
   }
@@ -125,9 +130,23 @@
   return expected;
 }
 
+PartOutlook ReplicaChooser::Outlook(const Service& service,
+                                    const AttemptProfile& profile,
+                                    Millis now) const {
+  PartOutlook outlook;
+  for (const auto& replica : service.replicas) {
+    if (!IsUsable(*replica)) {
+      continue;
+    }
+    const Millis wait = Expect(*replica, profile, now).wait;
+    outlook.wait = outlook.wait ? std::min(*outlook.wait, wait) : wait;
+  }
+  return outlook;
+}
+
 std::shared_ptr<ServingReplica> ReplicaChooser::Choose(
     const Service& service,
-    Millis usual,
+    const AttemptProfile& profile,
     std::span<const ServingReplica* const> exclude,
     Millis now) {
   std::shared_ptr<ServingReplica> best;
@@ -138,7 +157,7 @@
       continue;
     }
     const double jitter = 1 + kJitter * m_random.Unit();
-    const double cost = Expect(*replica, usual, now).total.count() * jitter;
+    const double cost = Expect(*replica, profile, now).total.count() * jitter;
     if (!best || cost < best_cost) {
       best = replica;
       best_cost = cost;
--- a/lib/serving/retry_allowance.cc
+++ b/lib/serving/retry_allowance.cc
@@ -67,6 +67,11 @@
          m_limits.slack * used * m_share;
 }
 
+double RetryAllowance::UsedPart(Millis now) const {
+  const double permitted = Permitted(now);
+  return permitted < 1 ? 1 : std::min(1.0, ExtrasUsed() / permitted);
+}
+
 bool RetryAllowance::TryTake(ExtraSend kind, Millis now) {
   Advance(now);
   const double part = kind == ExtraSend::kHedge ? kHedgePart : 1.0;
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -53,6 +53,7 @@
   settings.policy.reported_load = policy.BooleanOr("reported_load", true);
   settings.policy.slowness = policy.BooleanOr("slowness", true);
   settings.policy.admission = policy.BooleanOr("admission", true);
+  settings.policy.skipping = policy.BooleanOr("skipping", true);
   settings.policy.local_first = policy.BooleanOr("local_first", true);
   settings.stale_reads = policy.BooleanOr("stale_reads", true);
   settings.address_lifetime = Millis(policy.NumberOr(
--- a/unittests/serving/parts_test.cc
+++ b/unittests/serving/parts_test.cc
@@ -297,6 +297,9 @@
     }
   }
 
+  static constexpr AttemptProfile kProfile{.usual = Millis(20),
+                                           .objective = Millis(200)};
+
   ServingReplica& At(std::string_view id) {
     return *const_cast<ServingReplica*>(m_set.Find(id));
   }
@@ -304,7 +307,7 @@
   std::map<std::string, int> Choices(ReplicaChooser& chooser, Millis now) {
     std::map<std::string, int> counts;
     for (int i = 0; i < 300; ++i) {
-      ++counts[chooser.Choose(m_set.GetService("s"), Millis(20), {}, now)
+      ++counts[chooser.Choose(m_set.GetService("s"), kProfile, {}, now)
                    ->entry.id];
     }
     return counts;
@@ -335,6 +338,26 @@
   EXPECT_FALSE(Choices(m_chooser, Millis(60000)).contains("c"));
 }
 
+// Guards against sends to replicas that reject many, while the allowance to
+// send again is spent and another replica has room after a wait.
+TEST_F(ReplicaChooserTest, SpentAllowanceMakesRejectionsDear) {
+  Fill();
+  Service& service = m_set.GetService("s");
+  service.allowance.SetLimits(
+      {.ratio = 0, .slack = 10, .window = Millis(10'000)}, 1);
+  for (int i = 0; i < 10; ++i) {
+    ReplicaChooser::RecordOutcome(At("a"), i % 2 == 0, Millis(0));
+    ReplicaChooser::RecordOutcome(At("b"), i % 2 == 0, Millis(0));
+  }
+  // Waits for three runs.
+  At("c").load = LoadReport{5, 15, 5};
+  At("c").load_at = Millis(0);
+  EXPECT_LT(Choices(m_chooser, Millis(0))["c"], 10);
+  while (service.allowance.TryTake(ExtraSend::kRetry, Millis(0))) {
+  }
+  EXPECT_GT(Choices(m_chooser, Millis(0))["c"], 290);
+}
+
 // Guards against a replica that is avoided for seconds because it paused once,
 // and against one that is used on although it is slow each time.
 TEST_F(ReplicaChooserTest, OnePauseDoesNotMakeAReplicaSlow) {
@@ -346,7 +369,7 @@
     m_chooser.RecordLatency(At("b"), kUsual * 12, kUsual, Millis(50) * i);
   }
   const auto run = [this](std::string_view id) {
-    return m_chooser.Expect(At(id), kUsual, Millis(200)).total;
+    return m_chooser.Expect(At(id), kProfile, Millis(200)).total;
   };
   EXPECT_LT(run("a"), run("c") * 1.3);
   EXPECT_GT(run("b"), run("c") * 2);
@@ -372,7 +395,7 @@
   At("b").attempts.assign(cap, 1);
   EXPECT_EQ(Choices(m_chooser, Millis(0)).size(), 1u);
   At("c").attempts.assign(cap, 1);
-  EXPECT_EQ(m_chooser.Choose(m_set.GetService("s"), Millis(20), {}, Millis(0)),
+  EXPECT_EQ(m_chooser.Choose(m_set.GetService("s"), kProfile, {}, Millis(0)),
             nullptr);
 }
 
@@ -382,10 +405,8 @@
   Fill();
   At("a").load = LoadReport{5, 10, 5};
   At("a").load_at = Millis(1000);
-  EXPECT_GT(m_chooser.Expect(At("a"), Millis(20), Millis(1000)).wait,
-            Millis(20));
-  EXPECT_EQ(m_chooser.Expect(At("a"), Millis(20), Millis(9000)).wait,
-            Millis(0));
+  EXPECT_GT(m_chooser.Expect(At("a"), kProfile, Millis(1000)).wait, Millis(20));
+  EXPECT_EQ(m_chooser.Expect(At("a"), kProfile, Millis(9000)).wait, Millis(0));
 }
 
 }  // namespace
