Believe gossip only from the address of the VM that it names

Cause: any datagram was merged, so that forged gossip in the name of another VM took it out of the directory and changed the fleet's size; each malformed one cost a log line.

Change: a message counts when it comes from the gossip address of its sender, as the store lists it or, before that, as gossip told it. A VM that nobody knows yet may introduce itself: only its own record counts. A message from a foreign address has the list read again, once in three seconds, because the VM may have moved.

Ruled out for now: a keyed hash with a key in the store, which also keeps out strangers that introduce themselves; a sender with a spoofed address still passes.

After: 3 s of forged and malformed datagrams change nothing, fewer than 6 log lines, fewer than 12 store calls.

--- a/include/tanagervane/fleet/udp_gossip.h
+++ b/include/tanagervane/fleet/udp_gossip.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,11 @@
 namespace tanagervane {
 
 struct UdpGossipHooks {
+  /// The gossip address of a VM in the platform's store.
+  std::function<std::optional<std::string>(std::string_view id)> listed_address;
+  /// A message names a VM that has another address. The VM may have moved since
+  /// the list was read.
+  std::function<void(std::string_view id)> foreign;
   /// Adds what this VM has seen of the store to a message.
   std::function<void(GossipMessage&)> fill;
   /// A message arrived; peers and quarantine are merged already.
@@ -44,10 +50,16 @@
   void Announce(Millis now);
 
   uint64_t received() const { return m_received; }
+  /// Messages that were malformed or came from a foreign address.
+  uint64_t rejected() const { return m_rejected; }
 
  private:
   void SendRound(Millis now);
   void Receive();
+  void Take(std::string_view bytes, const std::string& source);
+  /// Whether the message, or what is left of it, may be merged.
+  bool PassesGate(GossipMessage& message, const std::string& source);
+  void LogRejected(std::string_view reason, std::string_view source);
 
   Poller& m_poller;
   PeerTable& m_peers;
@@ -55,6 +67,8 @@
   UdpGossipHooks m_hooks;
   int m_descriptor = -1;
   uint64_t m_received = 0;
+  uint64_t m_rejected = 0;
+  Millis m_next_rejection_log;
 };
 
 }  // namespace tanagervane
--- a/include/tanagervane/fleet/vm_registry.h
+++ b/include/tanagervane/fleet/vm_registry.h
@@ -68,6 +68,13 @@
   /// full read.
   std::optional<size_t> listed() const;
 
+  /// The gossip address of a listed VM.
+  std::optional<std::string> AddressOf(std::string_view id) const;
+
+  /// Reads the list again soon, because a VM may have moved. Calls that follow
+  /// each other count as one.
+  void RefreshSoon(Millis now);
+
   /// Gossip addresses of the other VMs.
   std::vector<std::string> OtherAddresses() const;
 
@@ -97,6 +104,8 @@
   /// Tells the current reading from those given up.
   uint64_t m_reading = 0;
   uint32_t m_refreshes = 0;
+  /// No extra reading before.
+  Millis m_next_extra{0};
   std::optional<std::vector<ListedVm>> m_listed;
   /// Since when a listed VM has not been live.
   std::map<std::string, Millis, std::less<>> m_absent_since;
--- a/include/tanagervane/net/socket.h
+++ b/include/tanagervane/net/socket.h
@@ -15,6 +15,9 @@
 /// Parses "ip:port". Fails with kInvalidRequest.
 absl::StatusOr<sockaddr_in> ParseSocketAddress(std::string_view address);
 
+/// The same address as "ip:port".
+std::string FormatAddress(const sockaddr_in& address);
+
 /// A non-blocking TCP listener. The descriptor belongs to the caller.
 absl::StatusOr<int> ListenTcp(const sockaddr_in& address);
 
--- a/integration/platform_cluster.py
+++ b/integration/platform_cluster.py
@@ -24,6 +24,7 @@
         self.log_path = os.path.join(directory, "node-%d.log" % number)
         self.callers, self.readiness, self.directory = (
             "%s:%d" % (self.ip, BASE_PORT + i) for i in range(3))
+        self.gossip = "%s:%d" % (self.ip, BASE_PORT + 5)
         with open(self.path, "w", encoding="utf-8") as file:
             json.dump({
                 "id": "node-%d" % number, "data_centre": "a",
--- a/integration/test_hostile_peers.py
+++ b/integration/test_hostile_peers.py
@@ -1,5 +1,6 @@
 """tanagervane-node beside peers that send without end or hold connections."""
 
+import json
 import resource
 import socket
 import tempfile
@@ -24,6 +25,11 @@
     raise AssertionError("no VmHWM")
 
 
+def text(value):
+    """A text as gossip encodes it."""
+    return bytes([len(value)]) + value.encode()
+
+
 def connect(address):
     host, port = address.split(":")
     return socket.create_connection((host, int(port)), timeout=2)
@@ -40,7 +46,8 @@
         self.platform.configure(routes())
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.node = Node(1, self.platform, folder.name)
+        self.folder = folder.name
+        self.node = Node(1, self.platform, self.folder)
         self.addCleanup(self.node.stop)
         wait_for(self.node.ready, "node is ready")
 
@@ -113,6 +120,40 @@
             for connection in held:
                 connection.close()
 
+    def test_forged_gossip(self):
+        """Guards against datagrams in the name of another VM, or of no VM, that
+        change who is in the directory, and against a log line for each."""
+        other = Node(2, self.platform, self.folder)
+        self.addCleanup(other.stop)
+        wait_for(other.ready, "second node is ready")
+        both = {self.node.callers, other.callers}
+        wait_for(lambda: self.addresses() == both, "both are known")
+        # Layout version, sender, two changes, peers known, one record.
+        record = (text("node-2") + b"\xff\xff\xff\xff\xff\xff\xff\x7f" +
+                  b"\xff\x7f" + b"\x02" + text("6.6.6.6:6") +
+                  text("6.6.6.6:7") + text("a") + b"\x01")
+        forged = (b"\x02" + text("node-2") + b"\xff\xff\xff\x7f\x00\x00" +
+                  b"\x01" + record + b"\x00\x00")
+        calls = self.platform.store.calls
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sender.bind(("127.0.9.9", 0))
+        host, port = self.node.gossip.split(":")
+        end = time.monotonic() + 3
+        while time.monotonic() < end:
+            for datagram in (forged, b"noise", forged[:20]):
+                sender.sendto(datagram, (host, int(port)))
+            self.assertEqual(self.addresses(), both)
+            self.check_merged(ask(self.node, "/all/x"))
+        sender.close()
+        self.assertLess(self.node.log().count("event=gossip_rejected"), 6)
+        self.assertIn("reason=foreign_address", self.node.log())
+        self.assertLess(self.platform.store.calls - calls, 12)
+
+    def addresses(self):
+        reply = get(self.node.directory,
+                    "/tanagervane/resolve?name=h.example")
+        return set(json.loads(reply.body)["addrs"]) if reply.body else set()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/lib/fleet/udp_gossip.cc
+++ b/lib/fleet/udp_gossip.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "tanagervane/fleet/gossip_gate.h"
 #include "tanagervane/fleet/gossip_rounds.h"
 #include "tanagervane/net/socket.h"
 #include "tanagervane/support/error.h"
@@ -24,6 +25,12 @@
 
 constexpr size_t kLargestDatagram = 65536;
 
+/// No VM that is not known is taken beyond this many.
+constexpr size_t kMostPeers = 20'000;
+
+/// A line is logged for the first rejected message of each period.
+constexpr Millis kRejectionLogPeriod{1000};
+
 /// Rounds of an announcement; each goes to a few random peers.
 constexpr int kAnnounceRounds = 4;
 
@@ -98,23 +105,65 @@
 void UdpGossip::Receive() {
   static std::array<char, kLargestDatagram> bytes;
   while (true) {
+    sockaddr_in source{};
+    socklen_t size = sizeof(source);
     const ssize_t count =
-        recv(m_descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        recvfrom(m_descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT,
+                 reinterpret_cast<sockaddr*>(&source), &size);
     if (count < 0) {
       return;
     }
-    const auto message =
-        DecodeGossip({bytes.data(), static_cast<size_t>(count)});
-    if (!message.ok()) {
-      LogEvent("gossip_invalid").Field("path", GetErrorPath(message.status()));
-      continue;
-    }
-    ++m_received;
-    const Millis now = Poller::Now();
-    m_quarantine.Merge(message->quarantine, now);
-    MergeGossip(*message, m_peers, now);
-    m_hooks.received(*message);
+    Take({bytes.data(), static_cast<size_t>(count)}, FormatAddress(source));
+  }
+}
+
+void UdpGossip::Take(std::string_view bytes, const std::string& source) {
+  auto message = DecodeGossip(bytes);
+  if (!message.ok()) {
+    LogRejected("malformed", source);
+    return;
+  }
+  if (!PassesGate(*message, source)) {
+    return;
+  }
+  ++m_received;
+  const Millis now = Poller::Now();
+  m_quarantine.Merge(message->quarantine, now);
+  MergeGossip(*message, m_peers, now);
+  m_hooks.received(*message);
+}
+
+bool UdpGossip::PassesGate(GossipMessage& message, const std::string& source) {
+  KnownAddress known;
+  known.listed = m_hooks.listed_address(message.sender);
+  if (const auto peer = m_peers.Find(message.sender, Poller::Now())) {
+    known.told = peer->record.peer_address;
+  }
+  switch (JudgeSender(message, source, known)) {
+    case SenderTrust::kMember:
+      return true;
+    case SenderTrust::kIntroduces:
+      KeepIntroduction(message);
+      return m_peers.size() < kMostPeers;
+    case SenderTrust::kForeign:
+      break;
+  }
+  LogRejected("foreign_address", source);
+  m_hooks.foreign(message.sender);
+  return false;
+}
+
+void UdpGossip::LogRejected(std::string_view reason, std::string_view source) {
+  ++m_rejected;
+  const Millis now = Poller::Now();
+  if (now < m_next_rejection_log) {
+    return;
   }
+  m_next_rejection_log = now + kRejectionLogPeriod;
+  LogEvent("gossip_rejected")
+      .Field("reason", reason)
+      .Field("source", source)
+      .Field("rejected_total", m_rejected);
 }
 
 }  // namespace tanagervane
--- a/lib/fleet/vm_registry.cc
+++ b/lib/fleet/vm_registry.cc
@@ -19,6 +19,10 @@
 constexpr Millis kFirstRead{1500};
 constexpr Millis kSecondRead{4000};
 
+/// Time between readings because a VM may have moved. Forged gossip must not
+/// cost more calls than this.
+constexpr Millis kExtraReadPeriod{3000};
+
 /// A stale list is no older than this.
 constexpr Millis kStalenessBound{10'000};
 
@@ -57,6 +61,23 @@
   return m_listed->size() + (IsListed() ? 0 : 1);
 }
 
+std::optional<std::string> VmRegistry::AddressOf(std::string_view id) const {
+  if (!m_listed) {
+    return std::nullopt;
+  }
+  const auto found = std::ranges::find(*m_listed, id, &ListedVm::id);
+  return found == m_listed->end() ? std::nullopt
+                                  : std::optional(found->gossip_address);
+}
+
+void VmRegistry::RefreshSoon(Millis now) {
+  if (now < m_next_extra || !m_listed) {
+    return;
+  }
+  m_next_extra = now + kExtraReadPeriod;
+  ReadList(Freshness::kStale, now);
+}
+
 std::vector<std::string> VmRegistry::OtherAddresses() const {
   std::vector<std::string> addresses;
   if (m_listed) {
--- a/lib/net/socket.cc
+++ b/lib/net/socket.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
@@ -78,6 +79,12 @@
   return result;
 }
 
+std::string FormatAddress(const sockaddr_in& address) {
+  std::array<char, INET_ADDRSTRLEN> ip{};
+  inet_ntop(AF_INET, &address.sin_addr, ip.data(), ip.size());
+  return fmt::format("{}:{}", ip.data(), ntohs(address.sin_port));
+}
+
 absl::StatusOr<int> ListenTcp(const sockaddr_in& address) {
   absl::StatusOr<int> descriptor = Bind(SOCK_STREAM, address);
   if (!descriptor.ok()) {
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -394,6 +394,9 @@
   total("tanagervane_replica_responses_invalid_total",
         "Responses of replicas that were no HTTP or had no end.",
         m_connections.stats().invalid);
+  total("tanagervane_gossip_rejected_total",
+        "Gossip that was malformed or came from a foreign address.",
+        m_gossip.rejected());
   level("tanagervane_open_replica_connections", "Open connections to replicas.",
         static_cast<double>(m_connections.stats().open));
   level("tanagervane_replicas", "Known replicas.",
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -50,19 +50,23 @@
 }  // namespace
 
 UdpGossipHooks Node::GossipHooks() {
-  return {.fill =
-              [this](GossipMessage& message) {
-                message.config_change = m_config_follower->last_change();
-                message.replica_change = m_replica_follower->last_change();
-              },
-          .received =
-              [this](const GossipMessage& message) {
-                const Millis now = Poller::Now();
-                m_config_follower->OnRevisionElsewhere(message.config_change,
-                                                       now);
-                m_replica_follower->OnRevisionElsewhere(message.replica_change,
-                                                        now);
-              }};
+  return {
+      .listed_address =
+          [this](std::string_view id) { return m_registry.AddressOf(id); },
+      .foreign =
+          [this](std::string_view) { m_registry.RefreshSoon(Poller::Now()); },
+      .fill =
+          [this](GossipMessage& message) {
+            message.config_change = m_config_follower->last_change();
+            message.replica_change = m_replica_follower->last_change();
+          },
+      .received =
+          [this](const GossipMessage& message) {
+            const Millis now = Poller::Now();
+            m_config_follower->OnRevisionElsewhere(message.config_change, now);
+            m_replica_follower->OnRevisionElsewhere(message.replica_change,
+                                                    now);
+          }};
 }
 
 KindFollowerHooks Node::StoreHooks(StoreKind kind) {
