--- a/integration/bench_slopes.py
+++ b/integration/bench_slopes.py
@@ -4,7 +4,7 @@
 real gRPC), exchanges (gossip through gRPC) and changes (platform calls of a
 configuration change). Rows go to
 docs/data/slopes_PART.csv with the command and the seed; utils/capacity.py
-works the tables of docs/CAPACITY.md out from them.
+works the tables of docs/capacity-entry.md out from them.
 
 Usage: utils/bench.sh slopes --part=core|hedges|entry|exchanges|changes
 """
--- a/unittests/capacity/capacity_page_test.py
+++ b/unittests/capacity/capacity_page_test.py
@@ -14,7 +14,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
-PAGE = os.path.join(ROOT, "docs", "CAPACITY.md")
+PAGE = os.path.join(ROOT, "docs", "capacity-entry.md")
 DATA = os.path.join(ROOT, "docs", "data")
 
 # What utils/capacity.py takes from the code: file, constant, value.
--- a/utils/capacity.py
+++ b/utils/capacity.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Works the tables of docs/CAPACITY.md out from the measured slopes.
+"""Works the tables of docs/capacity-entry.md out from the measured slopes.
 
 --write puts the tables between the markers of the page, --check fails when
 the page differs from what the CSV files under docs/data give.
@@ -20,7 +20,7 @@
 import sys
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-PAGE = os.path.join(ROOT, "docs", "CAPACITY.md")
+PAGE = os.path.join(ROOT, "docs", "capacity-entry.md")
 DATA = os.path.join(ROOT, "docs", "data", "slopes_*.csv")
 
 # The size to design for, docs/design.md section 3.
