Log who watches the latest state and which watch lags; share a test set-up

Both change what a VM believes, and had no line: store_watch_role when this VM begins or ends to watch the latest state for its data centre, store_watch_lags when others know of a change that has not come here. test_hostile_peers.py and test_platform.py set the same platform up; Platform.serve_all does it.

No decision changes. Unit tests, test_platform.py and test_hostile_peers.py pass.

--- a/include/tanagervane/state/kind_follower.h
+++ b/include/tanagervane/state/kind_follower.h
@@ -32,6 +32,9 @@
   std::function<void(const std::vector<StoreObject>&)> snapshot;
   std::function<void(const StoreObject&)> changed;
   std::function<void(std::string_view name)> removed;
+  /// Another VM has seen a change for some time that this one lacks; it is read
+  /// now.
+  std::function<void(uint64_t covered, uint64_t seen_elsewhere)> lagging;
   /// The store was lost or is back.
   std::function<void(bool reachable, StoreResult result)> reachable;
 };
--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -13,7 +13,7 @@
 import time
 import urllib.parse
 
-from platform_cluster import records_of
+from platform_cluster import SHARDS, records_of, routes
 
 HOST = "127.0.0.1"
 PAGE = 20
@@ -333,6 +333,13 @@
             self.replicas[service].append(
                 Replica(self, service, name, **options))
 
+    def serve_all(self):
+        """Three replicas of each shard and of "desk", and a configuration."""
+        for shard in SHARDS:
+            self.add_replicas(shard, 3)
+        self.add_replicas("desk", 3)
+        self.configure(routes())
+
     def all_replicas(self):
         return [r for group in self.replicas.values() for r in group]
 
--- a/integration/test_hostile_peers.py
+++ b/integration/test_hostile_peers.py
@@ -40,10 +40,7 @@
     def setUp(self):
         self.platform = Platform()
         self.addCleanup(self.platform.close)
-        for shard in SHARDS:
-            self.platform.add_replicas(shard, 3)
-        self.platform.add_replicas("desk", 3)
-        self.platform.configure(routes())
+        self.platform.serve_all()
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = folder.name
--- a/lib/state/kind_follower.cc
+++ b/lib/state/kind_follower.cc
@@ -208,6 +208,7 @@
     return;
   }
   m_behind_since = now;
+  m_hooks.lagging(m_covered, m_seen_elsewhere);
   if (WatchFreshness() == Freshness::kStale) {
     CatchUp();
   } else {
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -114,6 +114,8 @@
   uint64_t m_next_probe = 0;
   /// VMs that share limits, as last estimated.
   size_t m_fleet_size = 0;
+  /// Whether this VM watches the store's latest state for its data centre.
+  bool m_watches_latest = false;
   Millis m_started_at;
   bool m_stopping = false;
   Millis m_stop_deadline;
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -82,6 +82,12 @@
   hooks.after = [this](Millis delay, std::function<void()> task) {
     m_loop.After(delay, std::move(task));
   };
+  hooks.lagging = [kind](uint64_t covered, uint64_t seen_elsewhere) {
+    LogEvent("store_watch_lags")
+        .Field("kind", ToString(kind))
+        .Field("revision", covered)
+        .Field("seen_elsewhere", seen_elsewhere);
+  };
   hooks.reachable = [this, kind](bool reachable, StoreResult result) {
     OnStoreReachable(kind, reachable, result);
   };
@@ -232,8 +238,15 @@
   view.settled = now - m_started_at >= kGossipWarmUp;
   const bool watches_latest =
       now - m_started_at >= kRoleWarmUp && WatchesLatest(m_peers.self(), peers);
-  m_config_follower->SetWatchesLatest(watches_latest);
-  m_replica_follower->SetWatchesLatest(watches_latest);
+  if (watches_latest != m_watches_latest) {
+    m_watches_latest = watches_latest;
+    LogEvent("store_watch_role")
+        .Field("latest", watches_latest)
+        .Field("live", view.live)
+        .Field("store_reachable", m_peers.self().store_reachable);
+    m_config_follower->SetWatchesLatest(watches_latest);
+    m_replica_follower->SetWatchesLatest(watches_latest);
+  }
   const size_t vms = EstimateFleetSize(view);
   if (vms == m_fleet_size) {
     return;
--- a/unittests/state/kind_follower_test.cc
+++ b/unittests/state/kind_follower_test.cc
@@ -42,6 +42,10 @@
     hooks.removed = [this](std::string_view name) {
       m_objects.erase(std::string(name));
     };
+    hooks.lagging = [this](uint64_t covered, uint64_t seen_elsewhere) {
+      EXPECT_LT(covered, seen_elsewhere);
+      ++m_lagging;
+    };
     hooks.reachable = [this](bool reachable, StoreResult) {
       m_reachable.push_back(reachable);
     };
@@ -80,6 +84,7 @@
   WatchRequest m_watch_request;
   std::map<std::string, uint64_t> m_objects;
   std::vector<bool> m_reachable;
+  int m_lagging = 0;
   KindFollower m_follower{{}, Hooks(), 1};
 };
 
@@ -228,6 +233,7 @@
   EXPECT_TRUE(m_lists.empty());
   ASSERT_EQ(m_watches.size(), 1u);
   EXPECT_EQ(m_watch_request.freshness, Freshness::kStale);
+  EXPECT_EQ(m_lagging, 1);
   m_stale.OnRevisionElsewhere(12, Millis(3000));
   m_stale.OnRevisionElsewhere(12, Millis(5000));
   EXPECT_EQ(m_watches.size(), 1u);
