Keep queues short, do not count them twice, and stop work that serves nobody

Change: the wait in the queue is taken out of a latency before it is learned; a shard's sub-requests are skipped when its queue exceeds 0.7 of the tightest objective that uses it; skipped sub-requests are sent when others fail; attempts of a failed request are cancelled at once; no hedge goes into a queue longer than half of the median latency; the average reported load stands in for an old report. Each has a switch in the policy.

--- a/include/tanagervane/serving/admission.h
+++ b/include/tanagervane/serving/admission.h
@@ -19,6 +19,9 @@
   /// Shortest estimated wait for a slot among the shard's usable replicas;
   /// nullopt when it has none.
   std::optional<Millis> min_wait;
+  /// Longest wait at which the shard's queue is still short enough for all
+  /// routes that use it; nullopt for no limit.
+  std::optional<Millis> max_queue_wait;
 };
 
 struct AdmissionLimits {
@@ -38,7 +41,8 @@
   /// Time after which a refused caller may retry.
   Millis retry_after;
   /// Indices of sub-requests that are not sent because they would wait for a
-  /// slot beyond the time when the answer is sent. At most as many sub-requests
+  /// slot beyond the time when the answer is sent, or longer than the shard's
+  /// queue may become. At most as many sub-requests
   /// are skipped as the answer can do without; those with the longest wait
   /// first.
   std::vector<size_t> skipped;
@@ -47,7 +51,8 @@
 /// Decides whether to admit a request when some of its shards are overloaded.
 /// As long as the answer can do without an overloaded shard, the sub-request to
 /// that shard is skipped, which keeps its queue short enough for other answers
-/// to meet their objective. When too many shards are overloaded, the request is
+/// to meet their objective, also those of routes with a tighter objective that
+/// use the same shard. When too many shards are overloaded, the request is
 /// refused at once.
 Admission Admit(std::span<const SubRequestEstimate> sub_requests,
                 const AdmissionLimits& limits);
--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -15,6 +15,7 @@
 #include "tanagervane/routing/quarantine.h"
 #include "tanagervane/routing/types.h"
 #include "tanagervane/serving/admission.h"
+#include "tanagervane/serving/attempt_grace.h"
 #include "tanagervane/serving/exchange.h"
 #include "tanagervane/serving/plan.h"
 #include "tanagervane/serving/replica_chooser.h"
@@ -136,6 +137,8 @@
     /// When the choice of a replica is repeated after all usable ones were
     /// full.
     std::optional<Millis> retry_at;
+    /// Not sent although it could have been; see Admission::skipped.
+    bool skipped = false;
     /// The latest reply in which a replica reported a failure.
     std::optional<ReplicaReply> failure_reply;
     AnswerReason failure_reason = AnswerReason::kNone;
@@ -193,6 +196,8 @@
   // always does.
   void Advance(Request& request, Millis now);
   void AdvanceSubRequest(Request& request, size_t index, Millis now);
+  /// Sends skipped sub-requests after all while the answer needs them.
+  void ReopenSkipped(Request& request, Millis now);
   void SendFirstOrRetry(Request& request, size_t index, Millis now);
   void Hedge(Request& request, size_t index, Millis now);
   void Send(Request& request,
@@ -209,7 +214,7 @@
   FinalAnswer MakeAnswer(Request& request, Millis now) const;
   static FinalAnswer MakeMerged(const Request& request);
   FinalAnswer MakeFailure(Request& request, Millis now) const;
-  void ReleaseAttempts(Request& request, Millis now, bool abandoned);
+  void ReleaseAttempts(Request& request, Millis now, ReleaseCause cause);
   void Report(const Request& request,
               const FinalAnswer& answer,
               Millis now,
@@ -222,8 +227,9 @@
   /// How long a replica may leave attempts of the route unanswered before it
   /// counts as unresponsive.
   static Millis UnresponsiveTimeout(const PlannedRoute& route);
-  /// How long superseded attempts may run on.
-  static Millis SupersededGrace(const Request& request);
+  static Millis MedianLatency(const Request& request) {
+    return request.route->stats->attempt_latency.median();
+  }
   void ScheduleCancel(uint64_t id, Millis cancel_at);
   /// Whether the attempt is the oldest in flight on an overdue replica and its
   /// request is not abandoned. Its reply would end the overdue state, so it is
@@ -243,6 +249,9 @@
   void MarkResponsive(ServingReplica& replica, Millis now);
   void CancelDueAttempts(Millis now);
   static Millis HedgeDelay(const Request& request, Millis now);
+  bool MayHedgeOn(const ServingReplica& replica,
+                  const PlannedRoute& route,
+                  Millis now) const;
   static AttemptProfile MakeProfile(const PlannedRoute& route);
   /// Removes the attempt from its sub-request and returns the request; nullptr
   /// when the attempt is superseded or its request has ended.
--- a/include/tanagervane/serving/exchange.h
+++ b/include/tanagervane/serving/exchange.h
@@ -117,6 +117,7 @@
     kReplicasFull,
     kNoRetryBudget,
     kSkipped,
+    kReopened,
   };
   Type type = Type::kSent;
   uint16_t sub_request = 0;
--- a/include/tanagervane/serving/replica_chooser.h
+++ b/include/tanagervane/serving/replica_chooser.h
@@ -21,6 +21,8 @@
   bool hedging = true;
   /// Includes the load that replicas report in estimates.
   bool reported_load = true;
+  /// Includes the average of the reported loads once the latest one is old.
+  bool load_average = true;
   /// Includes ServingReplica::slowness and warm-up in estimates.
   bool slowness = true;
   /// Bounds the estimated wait for a slot by a fraction of the latency
@@ -28,6 +30,19 @@
   bool admission = true;
   /// Skips sub-requests that the answer can do without; see Admit().
   bool skipping = true;
+  /// Skips sub-requests as soon as a shard's queue is too long for the tightest
+  /// objective of the routes that use the shard; see Admit().
+  bool short_queues = true;
+  /// Sends skipped sub-requests after all when others of the request fail.
+  bool reopen_skipped = true;
+  /// Separates the wait in a replica's queue from its run time; see
+  /// RunTimeWithoutQueue().
+  bool queue_model = true;
+  /// Sends hedges only to replicas with a short queue; see
+  /// IsQueueShortEnoughToHedge().
+  bool hedge_short_queues = true;
+  /// Cancels the attempts of a failed request at once; see ReleaseGrace().
+  bool cancel_failed = true;
   /// Prefers replicas of the own data centre.
   bool local_first = true;
 };
@@ -45,6 +60,8 @@
 struct AttemptProfile {
   /// Median latency of the route's attempts.
   Millis median_latency;
+  /// Median run time of the route's attempts.
+  Millis median_run_time;
   /// Latency objective of the route.
   Millis objective;
 };
@@ -81,11 +98,19 @@
       std::span<const ServingReplica* const> exclude,
       Millis now);
 
-  /// Updates the replica's slowness with the latency of an attempt.
-  void RecordLatency(ServingReplica& replica,
-                     Millis latency,
-                     Millis median_latency,
-                     Millis now) const;
+  /// Returns the run time of an attempt on the replica that took `latency`.
+  Millis RunTime(const ServingReplica& replica, Millis latency) const;
+
+  /// Updates the replica's slowness with the run time of an attempt.
+  static void RecordRunTime(ServingReplica& replica,
+                            Millis run_time,
+                            Millis median_run_time,
+                            Millis now);
+  /// Updates the load that other VMs put on the replica with its latest report.
+  static void RecordLoad(ServingReplica& replica,
+                         const LoadReport& load,
+                         Millis now);
+
   /// Updates the replica's fraction of failed attempts with an outcome.
   static void RecordOutcome(ServingReplica& replica, bool failed, Millis now);
 
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -74,7 +74,7 @@
   /// one. A replica at its connection limit resets new connections.
   Millis no_connect_until;
 
-  /// Latency as a multiple of the route's median, and when it was updated.
+  /// Run time as a multiple of the route's median, and when it was updated.
   double slowness = 1;
   Millis slowness_updated_at;
   /// Fraction of recent attempts that failed, and when it was updated.
@@ -82,8 +82,10 @@
   Millis error_updated_at;
   std::optional<LoadReport> load;
   Millis load_reported_at;
-  /// This VM's attempts in flight when `load` was received.
-  size_t own_in_flight_at_report = 0;
+  /// Reported load less this VM's attempts in flight: in the latest report, and
+  /// as a moving average.
+  double other_load = 0;
+  double average_other_load = 0;
 
   /// The latest send time among answered attempts, and the time of the latest
   /// answer; -1 before the first answer.
@@ -117,6 +119,9 @@
   uint32_t max_connections = 1;
   std::vector<std::shared_ptr<ServingReplica>> replicas;
   RetryBudget retry_budget;
+  /// The shortest latency objective among the routes that use the service;
+  /// nullopt when no route does.
+  std::optional<Millis> tightest_objective;
 };
 
 struct ReplicaSetHooks {
--- a/lib/serving/admission.cc
+++ b/lib/serving/admission.cc
@@ -20,14 +20,21 @@
   return admission;
 }
 
+bool IsTooLate(const SubRequestEstimate& sub_request, Millis latest_wait) {
+  return sub_request.min_wait &&
+         *sub_request.min_wait >
+             std::min(latest_wait,
+                      sub_request.max_queue_wait.value_or(latest_wait));
+}
+
 /// Returns the indices of sub-requests that would wait longer for a slot than
-/// `latest_wait`, the longest wait first.
+/// `latest_wait` or in a queue that is too long, the longest wait first.
 std::vector<size_t> LateSubRequests(
     std::span<const SubRequestEstimate> sub_requests,
     Millis latest_wait) {
   std::vector<size_t> late;
   for (size_t i = 0; i < sub_requests.size(); ++i) {
-    if (sub_requests[i].min_wait && *sub_requests[i].min_wait > latest_wait) {
+    if (IsTooLate(sub_requests[i], latest_wait)) {
       late.push_back(i);
     }
   }
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "tanagervane/serving/hedging.h"
+
 namespace tanagervane {
 
 namespace {
@@ -35,19 +37,6 @@
 /// When a hedge finds no replica or no budget, it is retried after this
 /// fraction of the hedge delay.
 constexpr double kHedgeRecheckFraction = 0.25;
-constexpr Millis kMinHedgeDelay{3};
-
-/// The hedge delay is the greater of these multiples of the 90th percentile and
-/// of the median latency, at most this fraction of the objective.
-constexpr double kHedgeDelayP90s = 1.1;
-constexpr double kHedgeDelayMedians = 1.6;
-constexpr double kMaxHedgeDelayFraction = 0.4;
-
-/// A hedge is sent early enough to be answered before the request's answer is
-/// sent, but not before the minimum delay. The estimated latency of the hedge
-/// and the minimum delay are multiples of the median latency.
-constexpr double kHedgeLatencyMedians = 1.25;
-constexpr double kMinHedgeDelayMedians = 1.25;
 
 /// A replica that leaves attempts unanswered for this long, or for this many
 /// median latencies of a slower route, is unresponsive.
@@ -160,6 +149,7 @@
     request.trace.push_back({TraceEvent::Type::kSkipped,
                              static_cast<uint16_t>(index), Millis(0), nullptr});
     FailSubRequest(request, index, AnswerReason::kOverloaded);
+    request.sub_requests[index].skipped = m_options.policy.reopen_skipped;
   }
   request.caller_request = std::move(caller_request);
   request.timer_at = request.deadline;
@@ -216,6 +206,7 @@
   for (size_t i = 0; i < request.sub_requests.size(); ++i) {
     AdvanceSubRequest(request, i, now);
   }
+  ReopenSkipped(request, now);
   if (FinishIfDue(request, now)) {
     return;
   }
@@ -238,6 +229,30 @@
   }
 }
 
+void Dispatcher::ReopenSkipped(Request& request, Millis now) {
+  if (now >= request.answer_by) {
+    return;
+  }
+  for (size_t i = 0; i < request.sub_requests.size(); ++i) {
+    const size_t not_failed =
+        request.sub_requests.size() - request.failed_count;
+    if (not_failed >= request.route->needed_sub_requests) {
+      return;
+    }
+    SubRequest& sub_request = request.sub_requests[i];
+    if (!std::exchange(sub_request.skipped, false)) {
+      continue;
+    }
+    sub_request.state = SubRequestState::kOpen;
+    sub_request.failure_reason = AnswerReason::kNone;
+    --request.failed_count;
+    request.trace.push_back({TraceEvent::Type::kReopened,
+                             static_cast<uint16_t>(i), now - request.arrived_at,
+                             nullptr});
+    AdvanceSubRequest(request, i, now);
+  }
+}
+
 void Dispatcher::SendFirstOrRetry(Request& request, size_t index, Millis now) {
   SubRequest& sub_request = request.sub_requests[index];
   const RouteSpec& spec = request.route->spec;
@@ -305,8 +320,9 @@
   const auto replica =
       m_chooser.Choose(*sub_request.service, MakeProfile(route),
                        sub_request.attempted_replicas, now);
-  if (!replica || !sub_request.service->retry_budget.TrySpend(
-                      ExtraAttemptKind::kHedge, now)) {
+  if (!replica || !MayHedgeOn(*replica, route, now) ||
+      !sub_request.service->retry_budget.TrySpend(ExtraAttemptKind::kHedge,
+                                                  now)) {
     sub_request.hedge_at =
         now + HedgeDelay(request, now) * kHedgeRecheckFraction;
     return;
@@ -317,20 +333,24 @@
 
 AttemptProfile Dispatcher::MakeProfile(const PlannedRoute& route) {
   return {.median_latency = route.stats->attempt_latency.median(),
+          .median_run_time = route.stats->run_time.median(),
           .objective = route.spec.objective};
 }
 
 Millis Dispatcher::HedgeDelay(const Request& request, Millis now) {
-  const LatencyWindow& attempt_latency = request.route->stats->attempt_latency;
-  const Millis median = attempt_latency.median();
-  const Millis observed = std::max(attempt_latency.p90() * kHedgeDelayP90s,
-                                   median * kHedgeDelayMedians);
-  const Millis bound = request.route->spec.objective * kMaxHedgeDelayFraction;
-  // A hedge that is sent later is answered after `answer_by`.
-  const Millis latest_useful =
-      std::max(request.answer_by - now - median * kHedgeLatencyMedians,
-               median * kMinHedgeDelayMedians);
-  return std::max(std::min({observed, bound, latest_useful}), kMinHedgeDelay);
+  return tanagervane::HedgeDelay(request.route->stats->attempt_latency,
+                                 request.route->spec.objective,
+                                 request.answer_by - now);
+}
+
+bool Dispatcher::MayHedgeOn(const ServingReplica& replica,
+                            const PlannedRoute& route,
+                            Millis now) const {
+  const AttemptProfile profile = MakeProfile(route);
+  return !m_options.policy.hedge_short_queues ||
+         IsQueueShortEnoughToHedge(
+             m_chooser.Estimate(replica, profile, now).wait,
+             profile.median_latency);
 }
 
 Millis Dispatcher::UnresponsiveTimeout(const PlannedRoute& route) {
--- a/lib/serving/dispatcher_answers.cc
+++ b/lib/serving/dispatcher_answers.cc
@@ -98,7 +98,10 @@
   answer.key = request.key;
   m_timers.erase({request.timer_at.count(), request.key});
   const auto node = m_requests.extract(request.key);
-  ReleaseAttempts(request, now, false);
+  const bool cancel =
+      m_options.policy.cancel_failed && answer.kind == AnswerKind::kFailed;
+  ReleaseAttempts(request, now,
+                  cancel ? ReleaseCause::kFailed : ReleaseCause::kAnswered);
   Report(request, answer, now, false);
   // Must be last: the hook may submit the caller's next request.
   m_hooks.answer(answer);
@@ -134,7 +137,7 @@
   Request& request = *it->second;
   m_timers.erase({request.timer_at.count(), request.key});
   const auto node = m_requests.extract(it);
-  ReleaseAttempts(request, now, true);
+  ReleaseAttempts(request, now, ReleaseCause::kAbandoned);
   FinalAnswer answer;
   answer.reason = AnswerReason::kTooSlow;
   Report(request, answer, now, true);
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -11,22 +11,11 @@
 
 namespace {
 
-/// How long a superseded attempt may run on, as a multiple of the median
-/// latency. Most finish by then, and cancelling one costs its connection.
-/// Without a limit, superseded attempts on a slow replica would use the
-/// connections that other requests need.
-constexpr double kSupersededGraceMedians = 4;
-constexpr Millis kMinSupersededGrace{60};
-constexpr Millis kMaxSupersededGrace{600};
-
 /// The oldest attempt on an overdue replica runs on until this age, because its
 /// answer shows that the replica works again. Less than
 /// kMinUnresponsiveTimeout, after which health probes take over.
 constexpr Millis kMaxOverdueAttemptAge{550};
 
-/// How long attempts of an abandoned request may run on.
-constexpr Millis kAbandonedGrace{150};
-
 /// Attempts of a route that is not idempotent are cancelled this long after the
 /// request's deadline, because the request cannot be repeated.
 constexpr Millis kNonIdempotentGrace{500};
@@ -96,9 +85,7 @@
   replica.last_answer_at = now;
   replica.unanswered_since.reset();
   if (reply.load) {
-    replica.load = reply.load;
-    replica.load_reported_at = now;
-    replica.own_in_flight_at_report = replica.attempts.size();
+    ReplicaChooser::RecordLoad(replica, *reply.load, now);
   }
   if (reply.kind == ReplyKind::kMisdirected) {
     MarkUnresponsive(replica, "misdirected", now);
@@ -109,8 +96,10 @@
   ReplicaChooser::RecordOutcome(replica, !success, now);
   if (success) {
     const Millis latency = now - attempt.sent_at;
-    m_chooser.RecordLatency(replica, latency,
-                            attempt.stats->attempt_latency.median(), now);
+    const Millis run_time = m_chooser.RunTime(replica, latency);
+    ReplicaChooser::RecordRunTime(replica, run_time,
+                                  attempt.stats->run_time.median(), now);
+    attempt.stats->run_time.Record(run_time);
     attempt.stats->attempt_latency.Record(latency);
     m_quarantine.OnSuccess(attempt.fingerprint);
   }
@@ -153,7 +142,8 @@
       for (const uint64_t other :
            std::exchange(sub_request.open_attempts, {})) {
         assert(other != id);
-        ScheduleCancel(other, now + SupersededGrace(request));
+        ScheduleCancel(other, now + ReleaseGrace(ReleaseCause::kAnswered,
+                                                 MedianLatency(request)));
       }
       return;
     case ReplyKind::kFailed:
@@ -217,12 +207,6 @@
   Advance(*request, now);
 }
 
-Millis Dispatcher::SupersededGrace(const Request& request) {
-  const Millis median_latency = request.route->stats->attempt_latency.median();
-  return std::clamp(median_latency * kSupersededGraceMedians,
-                    kMinSupersededGrace, kMaxSupersededGrace);
-}
-
 void Dispatcher::ScheduleCancel(uint64_t id, Millis cancel_at) {
   Attempt& attempt = m_attempts.at(id);
   attempt.cancel_at = cancel_at;
@@ -252,10 +236,10 @@
     ServingReplica& replica = *attempt->replica;
     m_hooks.cancel_attempt(id, replica);
     // The age is a lower bound of the replica's latency.
-    const Millis age = now - attempt->sent_at;
-    const Millis median_latency = attempt->stats->attempt_latency.median();
-    if (age > median_latency) {
-      m_chooser.RecordLatency(replica, age, median_latency, now);
+    const Millis run_time = m_chooser.RunTime(replica, now - attempt->sent_at);
+    const Millis median_run_time = attempt->stats->run_time.median();
+    if (run_time > median_run_time) {
+      ReplicaChooser::RecordRunTime(replica, run_time, median_run_time, now);
     }
   }
 }
@@ -343,15 +327,16 @@
   });
 }
 
-void Dispatcher::ReleaseAttempts(Request& request, Millis now, bool abandoned) {
-  Millis cancel_at =
-      now + (abandoned ? kAbandonedGrace : SupersededGrace(request));
+void Dispatcher::ReleaseAttempts(Request& request,
+                                 Millis now,
+                                 ReleaseCause cause) {
+  Millis cancel_at = now + ReleaseGrace(cause, MedianLatency(request));
   if (!request.route->spec.idempotent) {
     cancel_at = request.deadline + kNonIdempotentGrace;
   }
   for (SubRequest& sub_request : request.sub_requests) {
     for (const uint64_t id : std::exchange(sub_request.open_attempts, {})) {
-      m_attempts.at(id).request_abandoned = abandoned;
+      m_attempts.at(id).request_abandoned = cause == ReleaseCause::kAbandoned;
       ScheduleCancel(id, cancel_at);
     }
   }
--- a/lib/serving/exchange.cc
+++ b/lib/serving/exchange.cc
@@ -78,6 +78,8 @@
       return "no_replica";
     case TraceEvent::Type::kReplicasFull:
       return "no_room";
+    case TraceEvent::Type::kReopened:
+      return "reopened";
     case TraceEvent::Type::kSkipped:
       return "skipped";
     case TraceEvent::Type::kNoRetryBudget:
--- a/lib/serving/plan.cc
+++ b/lib/serving/plan.cc
@@ -27,6 +27,10 @@
     services.push_back(&replicas.GetService(target.service));
     weights.push_back(target.weight);
   }
+  for (Service* service : services) {
+    service->tightest_objective = std::min(
+        service->tightest_objective.value_or(spec.objective), spec.objective);
+  }
   std::shared_ptr<RouteStats>& route_stats = stats[spec.name];
   if (!route_stats) {
     route_stats = std::make_shared<RouteStats>(
@@ -73,6 +77,8 @@
       m_limits(config.limits),
       m_table(config.routes) {
   replicas.ApplyServices(config.services);
+  replicas.ForEachService(
+      [](Service& service) { service.tightest_objective.reset(); });
   m_routes.reserve(config.routes.size());
   RouteStatsByName used_stats;
   for (const RouteSpec& spec : config.routes) {
--- a/lib/serving/replica_chooser.cc
+++ b/lib/serving/replica_chooser.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "tanagervane/serving/queue_model.h"
+
 namespace tanagervane {
 
 namespace {
@@ -18,6 +20,14 @@
 /// Half-life of the weight of a reported load.
 constexpr Millis kLoadHalfLife{150};
 
+/// Half-life and initial weight of the average load. It stands in for a latest
+/// report that is old, because a replica that was busy a moment ago is probably
+/// still busy. The weight is below 1, so that the replica is tried again and
+/// reports its load.
+constexpr Millis kAverageLoadHalfLife{2000};
+constexpr double kAverageLoadWeight = 0.5;
+constexpr double kAverageLoadGain = 0.1;
+
 /// Minimum slowness of a replica while it warms up.
 constexpr double kWarmUpSlowness = 1.6;
 
@@ -26,7 +36,7 @@
 constexpr double kErrorGain = 0.2;
 constexpr double kMinSlownessSample = 0.3;
 
-/// A latency sample counts as at most this multiple of the current slowness (or
+/// A run time counts as at most this multiple of the current slowness (or
 /// of 1, if greater): one answer delayed by a pause does not predict the next.
 constexpr double kMaxSampleFactor = 3;
 
@@ -44,6 +54,10 @@
 /// run as there are slots: spreads load before replicas are full.
 constexpr double kContentionCost = 0.15;
 
+/// Longest wait in the queue of a shard before its sub-requests are skipped, as
+/// a fraction of the tightest objective of the routes that use the shard.
+constexpr double kMaxQueueFraction = 0.7;
+
 /// Penalty for traffic between data centres, in addition to its latency.
 constexpr Millis kRemoteCost{8};
 
@@ -92,23 +106,25 @@
   if (!m_policy.reported_load || !replica.load) {
     return own_attempts;
   }
-  const double weight =
-      std::exp2(-((now - replica.load_reported_at) / kLoadHalfLife));
-  const double reported = replica.load->running + replica.load->waiting;
-  const double other_attempts = std::max(
-      0.0, reported - static_cast<double>(replica.own_in_flight_at_report));
-  return own_attempts + other_attempts * weight;
+  const Millis age = now - replica.load_reported_at;
+  const double weight = std::exp2(-(age / kLoadHalfLife));
+  double other_load = replica.other_load * weight;
+  if (m_policy.load_average) {
+    other_load += replica.average_other_load * (1 - weight) *
+                  kAverageLoadWeight * std::exp2(-(age / kAverageLoadHalfLife));
+  }
+  return own_attempts + other_load;
 }
 
 TimeEstimate ReplicaChooser::Estimate(const ServingReplica& replica,
                                       const AttemptProfile& profile,
                                       Millis now) const {
   const Millis median_latency = profile.median_latency;
-  const Millis run_time = median_latency * Slowness(replica, now);
+  const Millis run_time = profile.median_run_time * Slowness(replica, now);
   const double slots = std::max<uint32_t>(1, replica.registration.slots);
   const double load = EstimatedLoad(replica, now);
   TimeEstimate estimate;
-  estimate.wait = run_time * (std::max(0.0, load + 1 - slots) / slots);
+  estimate.wait = WaitForSlot(run_time, load, replica.registration.slots);
   estimate.total = estimate.wait + run_time;
   estimate.total += median_latency * (kContentionCost * load / slots);
   const double decayed_error_fraction =
@@ -140,6 +156,9 @@
     const AttemptProfile& profile,
     Millis now) const {
   SubRequestEstimate estimate;
+  if (m_policy.short_queues && service.tightest_objective) {
+    estimate.max_queue_wait = *service.tightest_objective * kMaxQueueFraction;
+  }
   for (const auto& replica : service.replicas) {
     if (!IsUsable(*replica)) {
       continue;
@@ -173,20 +192,41 @@
   return best;
 }
 
-void ReplicaChooser::RecordLatency(ServingReplica& replica,
-                                   Millis latency,
-                                   Millis median_latency,
-                                   Millis now) const {
+Millis ReplicaChooser::RunTime(const ServingReplica& replica,
+                               Millis latency) const {
+  if (!m_policy.queue_model || !replica.load) {
+    return latency;
+  }
+  return RunTimeWithoutQueue(latency, replica.load->waiting,
+                             replica.registration.slots);
+}
+
+void ReplicaChooser::RecordRunTime(ServingReplica& replica,
+                                   Millis run_time,
+                                   Millis median_run_time,
+                                   Millis now) {
   const double decay =
       Decay(now - replica.slowness_updated_at, kSlownessTimeConstant);
   const double current = 1 + (replica.slowness - 1) * decay;
   const double sample =
-      std::clamp(latency / std::max(median_latency, Millis(0.1)),
+      std::clamp(run_time / std::max(median_run_time, Millis(0.1)),
                  kMinSlownessSample, std::max(1.0, current) * kMaxSampleFactor);
   replica.slowness = current + (sample - current) * kSlownessGain;
   replica.slowness_updated_at = now;
 }
 
+void ReplicaChooser::RecordLoad(ServingReplica& replica,
+                                const LoadReport& load,
+                                Millis now) {
+  const double reported = load.running + load.waiting;
+  replica.load = load;
+  replica.load_reported_at = now;
+  replica.other_load =
+      std::max(0.0, reported - static_cast<double>(replica.attempts.size()));
+  replica.average_other_load +=
+      (replica.other_load - replica.average_other_load) * kAverageLoadGain;
+}
+
 void ReplicaChooser::RecordOutcome(ServingReplica& replica,
                                    bool failed,
                                    Millis now) {
--- a/unittests/serving/admission_test.cc
+++ b/unittests/serving/admission_test.cc
@@ -16,7 +16,8 @@
   std::vector<SubRequestEstimate> estimates;
   for (const double wait : waits) {
     estimates.push_back(
-        {wait < 0 ? std::nullopt : std::optional(Millis(wait))});
+        {.min_wait = wait < 0 ? std::nullopt : std::optional(Millis(wait)),
+         .max_queue_wait = std::nullopt});
   }
   return estimates;
 }
--- a/unittests/serving/dispatcher_test.cc
+++ b/unittests/serving/dispatcher_test.cc
@@ -261,8 +261,7 @@
     Harness h({.admission = admission});
     h.replicas.ForEachService([&](Service& service) {
       for (const auto& replica : service.replicas) {
-        replica->load = LoadReport{5, 100, 5};
-        replica->load_reported_at = h.now;
+        ReplicaChooser::RecordLoad(*replica, LoadReport{5, 100, 5}, h.now);
       }
     });
     h.Submit("/all/x");
