--- a/lib/serving/replica_chooser.cc
+++ b/lib/serving/replica_chooser.cc
@@ -56,7 +56,7 @@
 
 /// Longest wait in the queue of a shard before its sub-requests are skipped, as
 /// a fraction of the tightest objective of the routes that use the shard.
-constexpr double kMaxQueueFraction = 0.7;
+constexpr double kMaxQueueFraction = 0.5;
 
 /// Penalty for traffic between data centres, in addition to its latency.
 constexpr Millis kRemoteCost{8};
--- a/unittests/serving/components_test.cc
+++ b/unittests/serving/components_test.cc
@@ -356,8 +356,7 @@
     ReplicaChooser::RecordOutcome(GetReplica("b"), i % 2 == 0, Millis(0));
   }
   // Wait of three run times.
-  GetReplica("c").load = LoadReport{5, 15, 5};
-  GetReplica("c").load_reported_at = Millis(0);
+  ReplicaChooser::RecordLoad(GetReplica("c"), LoadReport{5, 15, 5}, Millis(0));
   EXPECT_LT(CountChoices(m_chooser, Millis(0))["c"], 10);
   while (service.retry_budget.TrySpend(ExtraAttemptKind::kRetry, Millis(0))) {
   }
@@ -410,8 +409,8 @@
 // and decays with its age.
 TEST_F(ReplicaChooserTest, ReportedLoadCountsAndDecays) {
   AddReplicas();
-  GetReplica("a").load = LoadReport{5, 10, 5};
-  GetReplica("a").load_reported_at = Millis(1000);
+  ReplicaChooser::RecordLoad(GetReplica("a"), LoadReport{5, 10, 5},
+                             Millis(1000));
   EXPECT_GT(m_chooser.Estimate(GetReplica("a"), kProfile, Millis(1000)).wait,
             Millis(20));
   EXPECT_EQ(m_chooser.Estimate(GetReplica("a"), kProfile, Millis(9000)).wait,
--- a/unittests/serving/overload_test.cc
+++ b/unittests/serving/overload_test.cc
@@ -120,7 +120,7 @@
   struct SimulatedReplica {
     double reject_fraction = 0;
     Millis run_time = kRunTime;
-    size_t running = 0;
+    std::set<uint64_t> running;
     std::deque<uint64_t> waiting;
   };
 
@@ -132,7 +132,9 @@
       Schedule(m_now + kOneWayDelay,
                [this, id = attempt.attempt_id] { OnArrival(id); });
     };
-    hooks.cancel_attempt = [](uint64_t, ServingReplica&) {};
+    hooks.cancel_attempt = [this](uint64_t id, ServingReplica&) {
+      Schedule(m_now + kOneWayDelay, [this, id] { OnCancel(id); });
+    };
     hooks.answer = [this](const FinalAnswer& answer) { RecordAnswer(answer); };
     hooks.on_finished = [](const RequestReport&) {};
     hooks.probe = [](const std::shared_ptr<ServingReplica>&) {};
@@ -167,11 +169,11 @@
   void OnArrival(uint64_t attempt) {
     SimulatedReplica& replica =
         m_simulated_replicas.at(m_replica_of_attempt.at(attempt));
-    const bool full =
-        replica.running == kSlots && replica.waiting.size() >= kMaxWaiting;
+    const bool full = replica.running.size() == kSlots &&
+                      replica.waiting.size() >= kMaxWaiting;
     if (full || m_random.NextDouble() < replica.reject_fraction) {
       Reply(attempt, replica, ReplyKind::kRejected);
-    } else if (replica.running == kSlots) {
+    } else if (replica.running.size() == kSlots) {
       replica.waiting.push_back(attempt);
     } else {
       StartRun(attempt, replica);
@@ -179,19 +181,35 @@
   }
 
   void StartRun(uint64_t attempt, SimulatedReplica& replica) {
-    ++replica.running;
+    replica.running.insert(attempt);
     Schedule(m_now + replica.run_time * (0.5 + m_random.NextDouble()),
              [this, attempt, &replica] {
-               --replica.running;
-               Reply(attempt, replica, ReplyKind::kSuccess);
-               if (!replica.waiting.empty()) {
-                 const uint64_t next = replica.waiting.front();
-                 replica.waiting.pop_front();
-                 StartRun(next, replica);
+               if (replica.running.erase(attempt) > 0) {
+                 Reply(attempt, replica, ReplyKind::kSuccess);
+                 StartNextRun(replica);
                }
              });
   }
 
+  void StartNextRun(SimulatedReplica& replica) {
+    if (replica.waiting.empty()) {
+      return;
+    }
+    const uint64_t next = replica.waiting.front();
+    replica.waiting.pop_front();
+    StartRun(next, replica);
+  }
+
+  /// The replica drops a request whose connection closes.
+  void OnCancel(uint64_t attempt) {
+    SimulatedReplica& replica =
+        m_simulated_replicas.at(m_replica_of_attempt.at(attempt));
+    std::erase(replica.waiting, attempt);
+    if (replica.running.erase(attempt) > 0) {
+      StartNextRun(replica);
+    }
+  }
+
   void Reply(uint64_t attempt,
              const SimulatedReplica& replica,
              ReplyKind kind) {
@@ -200,7 +218,7 @@
     reply.status = kind == ReplyKind::kSuccess ? 200 : 503;
     reply.signature = fmt::format("{}", attempt);
     reply.load =
-        LoadReport{static_cast<uint32_t>(replica.running),
+        LoadReport{static_cast<uint32_t>(replica.running.size()),
                    static_cast<uint32_t>(replica.waiting.size()), kSlots};
     Schedule(m_now + kOneWayDelay, [this, attempt, reply] {
       m_dispatcher.OnReply(attempt, reply, m_now);
