Remove the queue model and the load average, which pay nothing

Cause: the ablation shows that, with queues kept short and failed requests cancelled, estimates that separate run time from queueing are worth nothing, and neither is the average of reported loads.

Change: both mechanisms and their switches are removed.

--- a/include/tanagervane/serving/plan.h
+++ b/include/tanagervane/serving/plan.h
@@ -20,14 +20,10 @@
 /// Measurements of a route, kept across versions of the configuration.
 struct RouteStats {
   RouteStats(Millis initial_latency, Millis initial_time_left)
-      : attempt_latency(initial_latency),
-        run_time(initial_latency),
-        caller_time_left(initial_time_left) {}
+      : attempt_latency(initial_latency), caller_time_left(initial_time_left) {}
 
   /// Latency of single attempts.
   LatencyWindow attempt_latency;
-  /// Latency of single attempts without the wait in the replica's queue.
-  LatencyWindow run_time;
   /// Time for which callers say they wait. Most requests are first caller
   /// attempts, so a request with less time left than the median is taken for a
   /// caller's retry.
--- a/include/tanagervane/serving/replica_chooser.h
+++ b/include/tanagervane/serving/replica_chooser.h
@@ -21,8 +21,6 @@
   bool hedging = true;
   /// Includes the load that replicas report in estimates.
   bool reported_load = true;
-  /// Includes the average of the reported loads once the latest one is old.
-  bool load_average = true;
   /// Includes ServingReplica::slowness and warm-up in estimates.
   bool slowness = true;
   /// Bounds the estimated wait for a slot by a fraction of the latency
@@ -35,9 +33,6 @@
   bool short_queues = true;
   /// Sends skipped sub-requests after all when others of the request fail.
   bool reopen_skipped = true;
-  /// Separates the wait in a replica's queue from its run time; see
-  /// RunTimeWithoutQueue().
-  bool queue_model = true;
   /// Sends hedges only to replicas with a short queue; see
   /// IsQueueShortEnoughToHedge().
   bool hedge_short_queues = true;
@@ -60,8 +55,6 @@
 struct AttemptProfile {
   /// Median latency of the route's attempts.
   Millis median_latency;
-  /// Median run time of the route's attempts.
-  Millis median_run_time;
   /// Latency objective of the route.
   Millis objective;
 };
@@ -98,15 +91,12 @@
       std::span<const ServingReplica* const> exclude,
       Millis now);
 
-  /// Returns the run time of an attempt on the replica that took `latency`.
-  Millis RunTime(const ServingReplica& replica, Millis latency) const;
-
-  /// Updates the replica's slowness with the run time of an attempt.
-  static void RecordRunTime(ServingReplica& replica,
-                            Millis run_time,
-                            Millis median_run_time,
+  /// Updates the replica's slowness with the latency of an attempt.
+  static void RecordLatency(ServingReplica& replica,
+                            Millis latency,
+                            Millis median_latency,
                             Millis now);
-  /// Updates the load that other VMs put on the replica with its latest report.
+  /// Records a load report of the replica.
   static void RecordLoad(ServingReplica& replica,
                          const LoadReport& load,
                          Millis now);
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -74,7 +74,7 @@
   /// one. A replica at its connection limit resets new connections.
   Millis no_connect_until;
 
-  /// Run time as a multiple of the route's median, and when it was updated.
+  /// Latency as a multiple of the route's median, and when it was updated.
   double slowness = 1;
   Millis slowness_updated_at;
   /// Fraction of recent attempts that failed, and when it was updated.
@@ -82,10 +82,8 @@
   Millis error_updated_at;
   std::optional<LoadReport> load;
   Millis load_reported_at;
-  /// Reported load less this VM's attempts in flight: in the latest report, and
-  /// as a moving average.
+  /// The load in `load` less this VM's attempts in flight at that time.
   double other_load = 0;
-  double average_other_load = 0;
 
   /// The latest send time among answered attempts, and the time of the latest
   /// answer; -1 before the first answer.
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -333,7 +333,6 @@
 
 AttemptProfile Dispatcher::MakeProfile(const PlannedRoute& route) {
   return {.median_latency = route.stats->attempt_latency.median(),
-          .median_run_time = route.stats->run_time.median(),
           .objective = route.spec.objective};
 }
 
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -96,10 +96,8 @@
   ReplicaChooser::RecordOutcome(replica, !success, now);
   if (success) {
     const Millis latency = now - attempt.sent_at;
-    const Millis run_time = m_chooser.RunTime(replica, latency);
-    ReplicaChooser::RecordRunTime(replica, run_time,
-                                  attempt.stats->run_time.median(), now);
-    attempt.stats->run_time.Record(run_time);
+    ReplicaChooser::RecordLatency(replica, latency,
+                                  attempt.stats->attempt_latency.median(), now);
     attempt.stats->attempt_latency.Record(latency);
     m_quarantine.OnSuccess(attempt.fingerprint);
   }
@@ -236,10 +234,10 @@
     ServingReplica& replica = *attempt->replica;
     m_hooks.cancel_attempt(id, replica);
     // The age is a lower bound of the replica's latency.
-    const Millis run_time = m_chooser.RunTime(replica, now - attempt->sent_at);
-    const Millis median_run_time = attempt->stats->run_time.median();
-    if (run_time > median_run_time) {
-      ReplicaChooser::RecordRunTime(replica, run_time, median_run_time, now);
+    const Millis age = now - attempt->sent_at;
+    const Millis median_latency = attempt->stats->attempt_latency.median();
+    if (age > median_latency) {
+      ReplicaChooser::RecordLatency(replica, age, median_latency, now);
     }
   }
 }
--- a/lib/serving/replica_chooser.cc
+++ b/lib/serving/replica_chooser.cc
@@ -4,8 +4,6 @@
 #include <cmath>
 #include <utility>
 
-#include "tanagervane/serving/queue_model.h"
-
 namespace tanagervane {
 
 namespace {
@@ -20,14 +18,6 @@
 /// Half-life of the weight of a reported load.
 constexpr Millis kLoadHalfLife{150};
 
-/// Half-life and initial weight of the average load. It stands in for a latest
-/// report that is old, because a replica that was busy a moment ago is probably
-/// still busy. The weight is below 1, so that the replica is tried again and
-/// reports its load.
-constexpr Millis kAverageLoadHalfLife{2000};
-constexpr double kAverageLoadWeight = 0.5;
-constexpr double kAverageLoadGain = 0.1;
-
 /// Minimum slowness of a replica while it warms up.
 constexpr double kWarmUpSlowness = 1.6;
 
@@ -36,7 +26,7 @@
 constexpr double kErrorGain = 0.2;
 constexpr double kMinSlownessSample = 0.3;
 
-/// A run time counts as at most this multiple of the current slowness (or
+/// A latency sample counts as at most this multiple of the current slowness (or
 /// of 1, if greater): one answer delayed by a pause does not predict the next.
 constexpr double kMaxSampleFactor = 3;
 
@@ -106,25 +96,20 @@
   if (!m_policy.reported_load || !replica.load) {
     return own_attempts;
   }
-  const Millis age = now - replica.load_reported_at;
-  const double weight = std::exp2(-(age / kLoadHalfLife));
-  double other_load = replica.other_load * weight;
-  if (m_policy.load_average) {
-    other_load += replica.average_other_load * (1 - weight) *
-                  kAverageLoadWeight * std::exp2(-(age / kAverageLoadHalfLife));
-  }
-  return own_attempts + other_load;
+  const double weight =
+      std::exp2(-((now - replica.load_reported_at) / kLoadHalfLife));
+  return own_attempts + replica.other_load * weight;
 }
 
 TimeEstimate ReplicaChooser::Estimate(const ServingReplica& replica,
                                       const AttemptProfile& profile,
                                       Millis now) const {
   const Millis median_latency = profile.median_latency;
-  const Millis run_time = profile.median_run_time * Slowness(replica, now);
+  const Millis run_time = median_latency * Slowness(replica, now);
   const double slots = std::max<uint32_t>(1, replica.registration.slots);
   const double load = EstimatedLoad(replica, now);
   TimeEstimate estimate;
-  estimate.wait = WaitForSlot(run_time, load, replica.registration.slots);
+  estimate.wait = run_time * (std::max(0.0, load + 1 - slots) / slots);
   estimate.total = estimate.wait + run_time;
   estimate.total += median_latency * (kContentionCost * load / slots);
   const double decayed_error_fraction =
@@ -192,24 +177,15 @@
   return best;
 }
 
-Millis ReplicaChooser::RunTime(const ServingReplica& replica,
-                               Millis latency) const {
-  if (!m_policy.queue_model || !replica.load) {
-    return latency;
-  }
-  return RunTimeWithoutQueue(latency, replica.load->waiting,
-                             replica.registration.slots);
-}
-
-void ReplicaChooser::RecordRunTime(ServingReplica& replica,
-                                   Millis run_time,
-                                   Millis median_run_time,
+void ReplicaChooser::RecordLatency(ServingReplica& replica,
+                                   Millis latency,
+                                   Millis median_latency,
                                    Millis now) {
   const double decay =
       Decay(now - replica.slowness_updated_at, kSlownessTimeConstant);
   const double current = 1 + (replica.slowness - 1) * decay;
   const double sample =
-      std::clamp(run_time / std::max(median_run_time, Millis(0.1)),
+      std::clamp(latency / std::max(median_latency, Millis(0.1)),
                  kMinSlownessSample, std::max(1.0, current) * kMaxSampleFactor);
   replica.slowness = current + (sample - current) * kSlownessGain;
   replica.slowness_updated_at = now;
@@ -223,8 +199,6 @@
   replica.load_reported_at = now;
   replica.other_load =
       std::max(0.0, reported - static_cast<double>(replica.attempts.size()));
-  replica.average_other_load +=
-      (replica.other_load - replica.average_other_load) * kAverageLoadGain;
 }
 
 void ReplicaChooser::RecordOutcome(ServingReplica& replica,
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -57,10 +57,8 @@
   settings.policy.slowness = policy.BooleanOr("slowness", true);
   settings.policy.admission = policy.BooleanOr("admission", true);
   settings.policy.skipping = policy.BooleanOr("skipping", true);
-  settings.policy.load_average = policy.BooleanOr("load_average", true);
   settings.policy.short_queues = policy.BooleanOr("short_queues", true);
   settings.policy.reopen_skipped = policy.BooleanOr("reopen_skipped", true);
-  settings.policy.queue_model = policy.BooleanOr("queue_model", true);
   settings.policy.hedge_short_queues =
       policy.BooleanOr("hedge_short_queues", true);
   settings.policy.cancel_failed = policy.BooleanOr("cancel_failed", true);
--- a/unittests/serving/components_test.cc
+++ b/unittests/serving/components_test.cc
@@ -302,7 +302,6 @@
   }
 
   static constexpr AttemptProfile kProfile{.median_latency = Millis(20),
-                                           .median_run_time = Millis(20),
                                            .objective = Millis(200)};
 
   ServingReplica& GetReplica(std::string_view id) {
@@ -334,7 +333,7 @@
 TEST_F(ReplicaChooserTest, SlowFailingAndOverdueReplicasAreAvoided) {
   AddReplicas();
   for (int i = 0; i < 10; ++i) {
-    m_chooser.RecordRunTime(GetReplica("a"), Millis(200), Millis(20),
+    m_chooser.RecordLatency(GetReplica("a"), Millis(200), Millis(20),
                             Millis(0));
     ReplicaChooser::RecordOutcome(GetReplica("b"), true, Millis(0));
   }
@@ -368,10 +367,10 @@
 TEST_F(ReplicaChooserTest, OneSlowAnswerDoesNotMakeAReplicaSlow) {
   AddReplicas();
   constexpr Millis kMedian(20);
-  m_chooser.RecordRunTime(GetReplica("a"), kMedian * 12, kMedian, Millis(0));
+  m_chooser.RecordLatency(GetReplica("a"), kMedian * 12, kMedian, Millis(0));
   for (int i = 0; i < 3; ++i) {
-    m_chooser.RecordRunTime(GetReplica("a"), kMedian, kMedian, Millis(50) * i);
-    m_chooser.RecordRunTime(GetReplica("b"), kMedian * 12, kMedian,
+    m_chooser.RecordLatency(GetReplica("a"), kMedian, kMedian, Millis(50) * i);
+    m_chooser.RecordLatency(GetReplica("b"), kMedian * 12, kMedian,
                             Millis(50) * i);
   }
   const auto estimated_time = [this](std::string_view id) {
--- a/utils/ablation.py
+++ b/utils/ablation.py
@@ -25,8 +25,7 @@
 REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
 SETTINGS = pathlib.Path("deploy/node-settings.json")
 SWITCHES = [
-    "hedging", "hedge_short_queues", "reported_load", "load_average",
-    "queue_model", "slowness", "admission", "skipping", "short_queues",
+    "hedging", "hedge_short_queues", "reported_load", "slowness", "admission", "skipping", "short_queues",
     "reopen_skipped", "cancel_failed", "local_first", "stale_reads",
 ]
 
