Bound queues at three quarters of the tightest objective

Cause: the bound was chosen for estimates without queueing; with the estimates in use the worth is flat from half of the objective to the whole of it.

--- a/lib/serving/replica_chooser.cc
+++ b/lib/serving/replica_chooser.cc
@@ -46,7 +46,7 @@
 
 /// Longest wait in the queue of a shard before its sub-requests are skipped, as
 /// a fraction of the tightest objective of the routes that use the shard.
-constexpr double kMaxQueueFraction = 0.5;
+constexpr double kMaxQueueFraction = 0.75;
 
 /// Penalty for traffic between data centres, in addition to its latency.
 constexpr Millis kRemoteCost{8};
