Reopen skipped shards only into short queues; test each mechanism on its load

Change: a skipped sub-request is sent only while its wait is at most 0.6 of the time to the answer. Tests play the load of each mechanism with and without it, and compare the tier with a capacity bound over random deployments. A request whose caller is gone is logged with that reason, and times in the log have one decimal.

--- a/include/tanagervane/serving/admission.h
+++ b/include/tanagervane/serving/admission.h
@@ -57,6 +57,13 @@
 Admission Admit(std::span<const SubRequestEstimate> sub_requests,
                 const AdmissionLimits& limits);
 
+/// Returns whether a skipped sub-request may be sent after all because others
+/// of its request failed, for instance because replicas rejected them.
+/// `time_to_answer` is as in AdmissionLimits. While the shard's queue is long,
+/// the request fails instead: one that waits as long as the answer allows would
+/// make the next ones late.
+bool MayReopen(const SubRequestEstimate& sub_request, Millis time_to_answer);
+
 }  // namespace tanagervane
 
 #endif  // TANAGERVANE_SERVING_ADMISSION_H_
--- a/include/tanagervane/serving/exchange.h
+++ b/include/tanagervane/serving/exchange.h
@@ -82,6 +82,7 @@
   kNoRetryBudget,  ///< The service's retry budget was spent.
   kTooSlow,        ///< Replicas did not answer in time.
   kStopping,
+  kCallerGone,  ///< The caller cancelled or disconnected.
 };
 
 std::string_view ToString(AnswerReason reason);
--- a/lib/serving/admission.cc
+++ b/lib/serving/admission.cc
@@ -13,6 +13,10 @@
 /// When replicas are missing, it takes longer until one is available.
 constexpr Millis kNoReplicaRetryAfter{400};
 
+/// Longest wait at which a skipped sub-request is sent after all, as a fraction
+/// of the time to the answer.
+constexpr double kMaxReopenWaitFraction = 0.6;
+
 Admission Refuse(AnswerReason reason, Millis retry_after) {
   Admission admission;
   admission.refusal = reason;
@@ -73,4 +77,9 @@
   return admission;
 }
 
+bool MayReopen(const SubRequestEstimate& sub_request, Millis time_to_answer) {
+  return sub_request.min_wait && time_to_answer > Millis(0) &&
+         *sub_request.min_wait <= time_to_answer * kMaxReopenWaitFraction;
+}
+
 }  // namespace tanagervane
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -230,9 +230,6 @@
 }
 
 void Dispatcher::ReopenSkipped(Request& request, Millis now) {
-  if (now >= request.answer_by) {
-    return;
-  }
   for (size_t i = 0; i < request.sub_requests.size(); ++i) {
     const size_t not_failed =
         request.sub_requests.size() - request.failed_count;
@@ -240,9 +237,12 @@
       return;
     }
     SubRequest& sub_request = request.sub_requests[i];
-    if (!std::exchange(sub_request.skipped, false)) {
+    const SubRequestEstimate estimate = m_chooser.EstimateSubRequest(
+        *sub_request.service, MakeProfile(*request.route), now);
+    if (!sub_request.skipped || !MayReopen(estimate, request.answer_by - now)) {
       continue;
     }
+    sub_request.skipped = false;
     sub_request.state = SubRequestState::kOpen;
     sub_request.failure_reason = AnswerReason::kNone;
     --request.failed_count;
--- a/lib/serving/dispatcher_answers.cc
+++ b/lib/serving/dispatcher_answers.cc
@@ -139,7 +139,7 @@
   const auto node = m_requests.extract(it);
   ReleaseAttempts(request, now, ReleaseCause::kAbandoned);
   FinalAnswer answer;
-  answer.reason = AnswerReason::kTooSlow;
+  answer.reason = AnswerReason::kCallerGone;
   Report(request, answer, now, true);
 }
 
--- a/lib/serving/exchange.cc
+++ b/lib/serving/exchange.cc
@@ -47,9 +47,11 @@
     case AnswerReason::kTooSlow:
       return "too_slow";
     case AnswerReason::kStopping:
+      return "stopping";
+    case AnswerReason::kCallerGone:
       break;
   }
-  return "stopping";
+  return "caller_gone";
 }
 
 std::string_view ToString(TraceEvent::Type type) {
--- a/tools/tanagervane-node/request_log.cc
+++ b/tools/tanagervane-node/request_log.cc
@@ -2,6 +2,9 @@
 
 #include "tools/tanagervane-node/request_log.h"
 
+#include <string>
+
+#include "fmt/format.h"
 #include "tanagervane/support/log.h"
 
 namespace tanagervane {
@@ -34,6 +37,10 @@
                                                             : "on_time";
 }
 
+std::string OneDecimal(Millis duration) {
+  return fmt::format("{:.1f}", duration.count());
+}
+
 /// Returns whether an event of a fan-out is logged. Plain sends and answers are
 /// not, because each shard has one of both.
 bool IsUnusual(TraceEvent::Type type) {
@@ -78,9 +85,9 @@
       .Field("config_version", report.config_version)
       .Field("outcome", outcome)
       .Field("reason", ToString(report.reason))
-      .Field("elapsed_ms", report.elapsed.count())
-      .Field("objective_ms", report.objective.count())
-      .Field("time_left_ms", report.time_left_on_arrival.count())
+      .Field("elapsed_ms", OneDecimal(report.elapsed))
+      .Field("objective_ms", OneDecimal(report.objective))
+      .Field("time_left_ms", OneDecimal(report.time_left_on_arrival))
       .Field("parts", report.sub_requests)
       .Field("parts_done", report.answered_sub_requests)
       .Field("extra_sends", report.extra_attempts)
@@ -100,13 +107,14 @@
     log_event.Field("request", report.request->id)
         .Field("what", ToString(event.type))
         .Field("part", event.sub_request)
-        .Field("after_ms", event.elapsed.count());
+        .Field("after_ms", OneDecimal(event.elapsed));
     if (event.replica) {
       log_event.Field("replica", event.replica->registration.id)
           .Field("service", event.replica->registration.service)
           .Field("in_flight", event.replica->attempts.size())
-          .Field("slowness", event.replica->slowness)
-          .Field("error_share", event.replica->error_fraction);
+          .Field("slowness", fmt::format("{:.2f}", event.replica->slowness))
+          .Field("error_share",
+                 fmt::format("{:.2f}", event.replica->error_fraction));
     }
   }
 }
--- a/unittests/serving/admission_test.cc
+++ b/unittests/serving/admission_test.cc
@@ -52,6 +52,28 @@
       Admit(MakeEstimates({0, 0, 0, 190, 900}), limits).skipped.empty());
 }
 
+// Guards against queues that are short enough for one route and too long for
+// another with a tighter objective that uses the same shard.
+TEST(AdmissionTest, QueueIsBoundedForTheTightestObjective) {
+  std::vector<SubRequestEstimate> estimates = MakeEstimates({0, 50, 0, 60, 0});
+  EXPECT_TRUE(Admit(estimates, kThreeNeeded).skipped.empty());
+  for (SubRequestEstimate& estimate : estimates) {
+    estimate.max_queue_wait = Millis(45);
+  }
+  EXPECT_EQ(Admit(estimates, kThreeNeeded).skipped,
+            (std::vector<size_t>{3, 1}));
+}
+
+// Guards against sending a skipped sub-request into a queue that would make it
+// late, and to a shard without a replica.
+TEST(AdmissionTest, SkippedSubRequestIsReopenedOnlyWithTimeLeft) {
+  const SubRequestEstimate busy = MakeEstimates({60}).front();
+  EXPECT_TRUE(MayReopen(busy, Millis(130)));
+  EXPECT_FALSE(MayReopen(busy, Millis(65)));
+  EXPECT_FALSE(MayReopen(MakeEstimates({0}).front(), Millis(0)));
+  EXPECT_FALSE(MayReopen(MakeEstimates({kNoReplica}).front(), Millis(130)));
+}
+
 // Guards against admitting requests that cannot get enough replies.
 TEST(AdmissionTest, RefusedWhenTooFewShardsCanAnswer) {
   const Admission no_replicas = Admit(
--- a/unittests/serving/dispatcher_test.cc
+++ b/unittests/serving/dispatcher_test.cc
@@ -152,6 +152,38 @@
   EXPECT_EQ(h.answers[0].missing_shards, 0u);
 }
 
+// Guards against hedges that lengthen the queues of loaded replicas: a hedge
+// waits until a replica with a short queue is there.
+TEST(DispatcherTest, HedgeIsNotSentIntoAQueue) {
+  for (const bool hedge_short_queues : {true, false}) {
+    Harness h({.hedge_short_queues = hedge_short_queues});
+    for (int i = 0; i < 40; ++i) {
+      h.Submit("/all/x");
+      h.Advance(Millis(30));
+      h.AnswerAll(h.PopSentAttempts());
+    }
+    h.Submit("/all/x");
+    auto attempts = h.PopSentAttempts();
+    const OutgoingAttempt straggler = attempts.back();
+    attempts.pop_back();
+    h.AnswerAll(attempts);
+    const auto report = [&](const LoadReport& load) {
+      for (const auto& replica : straggler.replica->service->replicas) {
+        ReplicaChooser::RecordLoad(*replica, load, h.now);
+      }
+    };
+    // Sixty requests wait for five slots.
+    for (int i = 0; i < 10; ++i) {
+      h.Advance(Millis(8));
+      report({.running = 5, .waiting = 60, .slots = 5});
+    }
+    EXPECT_EQ(h.PopSentAttempts().size(), hedge_short_queues ? 0u : 1u);
+    report({.running = 1, .waiting = 0, .slots = 5});
+    h.Advance(Millis(30));
+    EXPECT_EQ(h.PopSentAttempts().size(), hedge_short_queues ? 1u : 0u);
+  }
+}
+
 // Guards against running a sub-request on more replicas than the route allows.
 TEST(DispatcherTest, MaxAttemptsLimitsReplicasPerShard) {
   Harness h;
--- a/unittests/serving/overload_test.cc
+++ b/unittests/serving/overload_test.cc
@@ -14,6 +14,7 @@
 #include "gtest/gtest.h"
 #include "tanagervane/serving/dispatcher.h"
 #include "tanagervane/support/random.h"
+#include "unittests/serving/capacity_bound.h"
 
 namespace tanagervane {
 namespace {
@@ -27,6 +28,12 @@
 constexpr Millis kObjective(150);
 constexpr Millis kCallerTimeout(800);
 
+/// Requests of the light route run for a third of the time of others, with a
+/// tighter objective.
+constexpr Millis kLightObjective(60);
+constexpr double kLightRunFraction = 1.0 / 3;
+constexpr std::string_view kLightTarget = "/light/x";
+
 /// Results of the counted requests.
 struct CallerResults {
   size_t counted = 0;
@@ -68,7 +75,13 @@
       route.shards.push_back(ShardName(shard));
       config.services.push_back({ShardName(shard), "/healthz", 200});
     }
-    config.routes = {route};
+    RouteSpec light = route;
+    light.name = "light";
+    light.prefix = "/light/";
+    light.objective = kLightObjective;
+    light.priority = 2;
+    light.min_shard_fraction = 0.75;
+    config.routes = {route, light};
     m_dispatcher.ApplyConfig(config);
   }
 
@@ -92,31 +105,44 @@
     }
   }
 
-  /// Submits `per_second` requests a second; requests of the first second are
-  /// not counted.
-  CallerResults Run(double per_second, Millis duration) {
+  /// Submits `per_second` requests a second, of which the given fraction goes
+  /// to the light route. Requests of the first second are not counted.
+  void Run(double per_second, Millis duration, double light_fraction = 0) {
     const Millis interval(1000 / per_second);
     const Millis end = m_now + duration;
     const Millis counted_from = m_now + Millis(1000);
     for (; m_now < end; RunUntil(m_now + interval)) {
-      m_submitted_at[++m_last_key] = m_now;
-      if (m_now >= counted_from) {
-        m_counted.insert(m_last_key);
-      }
+      const bool light = m_random.NextDouble() < light_fraction;
+      SubmittedRequest& submitted = m_submitted[++m_last_key];
+      submitted = {m_now, light, m_now >= counted_from};
+      CallerResults& results = light ? m_light_results : m_results;
+      results.counted += submitted.counted ? 1 : 0;
       auto request = std::make_shared<CallerRequest>();
       request->id = fmt::format("q{}", m_last_key);
       request->method = "GET";
       request->host = "h";
-      request->target = "/x";
+      request->target = light ? kLightTarget : "/x";
       request->time_left = kCallerTimeout;
       m_dispatcher.Submit(m_last_key, request, m_now);
     }
     RunUntil(m_now + kCallerTimeout);
-    m_results.counted = m_counted.size();
-    return m_results;
   }
 
+  const CallerResults& results() const { return m_results; }
+  const CallerResults& light_results() const { return m_light_results; }
+
  private:
+  struct SubmittedRequest {
+    Millis at;
+    bool light = false;
+    bool counted = false;
+  };
+
+  struct SentAttempt {
+    std::string replica;
+    double run_fraction = 1;
+  };
+
   struct SimulatedReplica {
     double reject_fraction = 0;
     Millis run_time = kRunTime;
@@ -127,8 +153,9 @@
   DispatcherHooks Hooks() {
     DispatcherHooks hooks;
     hooks.send = [this](const OutgoingAttempt& attempt) {
-      m_replica_of_attempt[attempt.attempt_id] =
-          attempt.replica->registration.id;
+      m_sent[attempt.attempt_id] = {
+          attempt.replica->registration.id,
+          attempt.request->target == kLightTarget ? kLightRunFraction : 1};
       Schedule(m_now + kOneWayDelay,
                [this, id = attempt.attempt_id] { OnArrival(id); });
     };
@@ -168,7 +195,7 @@
 
   void OnArrival(uint64_t attempt) {
     SimulatedReplica& replica =
-        m_simulated_replicas.at(m_replica_of_attempt.at(attempt));
+        m_simulated_replicas.at(m_sent.at(attempt).replica);
     const bool full = replica.running.size() == kSlots &&
                       replica.waiting.size() >= kMaxWaiting;
     if (full || m_random.NextDouble() < replica.reject_fraction) {
@@ -182,7 +209,9 @@
 
   void StartRun(uint64_t attempt, SimulatedReplica& replica) {
     replica.running.insert(attempt);
-    Schedule(m_now + replica.run_time * (0.5 + m_random.NextDouble()),
+    const Millis mean_run_time =
+        replica.run_time * m_sent.at(attempt).run_fraction;
+    Schedule(m_now + mean_run_time * (0.5 + m_random.NextDouble()),
              [this, attempt, &replica] {
                if (replica.running.erase(attempt) > 0) {
                  Reply(attempt, replica, ReplyKind::kSuccess);
@@ -203,7 +232,7 @@
   /// The replica drops a request whose connection closes.
   void OnCancel(uint64_t attempt) {
     SimulatedReplica& replica =
-        m_simulated_replicas.at(m_replica_of_attempt.at(attempt));
+        m_simulated_replicas.at(m_sent.at(attempt).replica);
     std::erase(replica.waiting, attempt);
     if (replica.running.erase(attempt) > 0) {
       StartNextRun(replica);
@@ -226,16 +255,19 @@
   }
 
   void RecordAnswer(const FinalAnswer& answer) {
-    if (!m_counted.contains(answer.key)) {
+    const SubmittedRequest& submitted = m_submitted.at(answer.key);
+    if (!submitted.counted) {
       return;
     }
-    m_results.refused += answer.kind == AnswerKind::kRefused ? 1 : 0;
-    const bool on_time = m_now - m_submitted_at.at(answer.key) <= kObjective;
-    if (answer.kind == AnswerKind::kMerged && on_time) {
+    CallerResults& results = submitted.light ? m_light_results : m_results;
+    results.refused += answer.kind == AnswerKind::kRefused ? 1 : 0;
+    const Millis objective = submitted.light ? kLightObjective : kObjective;
+    if (answer.kind == AnswerKind::kMerged &&
+        m_now - submitted.at <= objective) {
       const double answered_fraction =
           1 - static_cast<double>(answer.missing_shards) / kShards;
-      ++m_results.on_time;
-      m_results.score += answered_fraction * answered_fraction;
+      ++results.on_time;
+      results.score += answered_fraction * answered_fraction;
     }
   }
 
@@ -243,11 +275,11 @@
   Random m_random{5};
   std::multimap<double, std::function<void()>> m_events;
   std::map<std::string, SimulatedReplica> m_simulated_replicas;
-  std::map<uint64_t, std::string> m_replica_of_attempt;
-  std::map<RequestKey, Millis> m_submitted_at;
-  std::set<RequestKey> m_counted;
+  std::map<uint64_t, SentAttempt> m_sent;
+  std::map<RequestKey, SubmittedRequest> m_submitted;
   RequestKey m_last_key = 0;
   CallerResults m_results;
+  CallerResults m_light_results;
   Quarantine m_quarantine{true, 3};
   ReplicaSet m_replicas;
   Dispatcher m_dispatcher;
@@ -256,6 +288,11 @@
 /// With kRunTime, a replica answers 150 requests a second.
 constexpr double kRequestsPerSecond = 150;
 constexpr Millis kDuration(8'000);
+constexpr double kBusyRequestsPerSecond = 180;
+constexpr double kOverloadRequestsPerSecond = 220;
+constexpr double kLightShare = 0.25;
+/// Shards that an answer of the first route can do without.
+constexpr size_t kMaxMissingShards = 1;
 
 // Guards against refusals and late answers when each request can do without one
 // of two full shards. Two of ten shards have one replica each, which can run
@@ -268,7 +305,8 @@
       simulation.AddReplicas(shard, full ? 1 : 3, 0,
                              full ? kSlowRunTime : kRunTime);
     }
-    return simulation.Run(kRequestsPerSecond, kDuration);
+    simulation.Run(kRequestsPerSecond, kDuration);
+    return simulation.results();
   };
   const CallerResults with_skipping = simulate(true);
   const CallerResults without_skipping = simulate(false);
@@ -278,5 +316,87 @@
   EXPECT_LT(without_skipping.mean_score(), with_skipping.mean_score() - 0.1);
 }
 
+// Guards against queues that only requests with a loose objective survive.
+// Three of ten shards have one replica each and are asked for more than it can
+// run; the light route has a tighter objective and needs eight shards.
+TEST(OverloadTest, ShortQueuesKeepTheTighterRouteOnTime) {
+  const auto simulate = [](bool short_queues) {
+    OverloadSimulation simulation({.short_queues = short_queues});
+    for (size_t shard = 0; shard < kShards; ++shard) {
+      simulation.AddReplicas(shard, shard < 3 ? 1 : 3);
+    }
+    simulation.Run(kOverloadRequestsPerSecond, kDuration, kLightShare);
+    return std::pair(simulation.results(), simulation.light_results());
+  };
+  const auto [results, light_results] = simulate(true);
+  EXPECT_GE(light_results.mean_score(), 0.95);
+  // Nine of ten shards score 0.81.
+  EXPECT_GE(results.mean_score(), 0.81);
+  EXPECT_LT(simulate(false).second.mean_score(), 0.85);
+}
+
+/// Adds one shard with a slow replica, the given number of shards whose
+/// replicas all reject, and shards with one replica that does not reject.
+void AddRejectingShards(OverloadSimulation& simulation, size_t rejecting) {
+  constexpr double kRejectFraction = 0.6;
+  simulation.AddReplicas(0, 1, 0, kSlowRunTime);
+  for (size_t shard = 1; shard < kShards; ++shard) {
+    const bool all_reject = shard <= rejecting;
+    simulation.AddReplicas(shard, all_reject ? 3 : 2, kRejectFraction);
+    if (!all_reject) {
+      simulation.AddReplicas(shard, 1);
+    }
+  }
+}
+
+// Guards against work for requests that have failed already. When most replicas
+// reject, requests fail within milliseconds, and their remaining attempts fill
+// the queues of the replicas that do not.
+TEST(OverloadTest, FailedRequestsDoNotDelayOthers) {
+  const auto simulate = [](bool cancel_failed) {
+    OverloadSimulation simulation({.cancel_failed = cancel_failed});
+    AddRejectingShards(simulation, 2);
+    simulation.Run(kOverloadRequestsPerSecond, kDuration, kLightShare);
+    return simulation.results().mean_score();
+  };
+  const double with_cancelling = simulate(true);
+  EXPECT_GE(with_cancelling, 0.5);
+  EXPECT_LT(simulate(false), with_cancelling - 0.1);
+}
+
+// Guards against failing a request at which a skipped shard could still be
+// asked: the skipped one uses up the only shard that the answer can do without,
+// and then another one rejects.
+TEST(OverloadTest, SkippedShardsReplaceRejectedOnes) {
+  const auto simulate = [](bool reopen_skipped) {
+    OverloadSimulation simulation({.reopen_skipped = reopen_skipped});
+    AddRejectingShards(simulation, 1);
+    simulation.Run(kBusyRequestsPerSecond, kDuration, kLightShare);
+    return simulation.results().mean_score();
+  };
+  EXPECT_GT(simulate(true), simulate(false) + 0.05);
+}
+
+// Compares the tier with a bound that any tier obeys, over random deployments.
+// Guards against policies that suit one deployment only.
+TEST(OverloadTest, ScoreIsNearTheBoundOfScarceShards) {
+  Random random(11);
+  for (int i = 0; i < 12; ++i) {
+    OverloadSimulation simulation({});
+    std::vector<double> capacities;
+    for (size_t shard = 0; shard < kShards; ++shard) {
+      const size_t replicas = random.NextDouble() < 0.3 ? 1 : 3;
+      const Millis run_time = kRunTime * (0.8 + 0.6 * random.NextDouble());
+      simulation.AddReplicas(shard, replicas, 0, run_time);
+      capacities.push_back(static_cast<double>(replicas * kSlots) * 1000 /
+                           run_time.count());
+    }
+    simulation.Run(kRequestsPerSecond, kDuration);
+    const double bound =
+        BestMeanScore(capacities, kRequestsPerSecond, kMaxMissingShards);
+    EXPECT_GE(simulation.results().mean_score(), 0.9 * bound) << "run " << i;
+  }
+}
+
 }  // namespace
 }  // namespace tanagervane
