--- a/integration/soak_platform.py
+++ b/integration/soak_platform.py
@@ -59,7 +59,7 @@
         reply = Reply()
         reply.id = uuid.uuid4().hex
         connection = self.connections.pop(node.ip, None) or \
-            http.client.HTTPConnection(node.callers, timeout=8)
+            http.client.HTTPConnection(node.caller_address, timeout=8)
         start = time.monotonic()
         try:
             connection.request(method, path, body, {
@@ -314,6 +314,8 @@
             self.running = False
             for caller in callers:
                 caller.join()
+            if not self.outcomes.get(200):
+                self.add_problem("no caller was served")
             self.check_executions()
             for node in self.nodes:
                 node.stop()
