Reopen skipped shards only when the answer becomes possible with them

Cause: a skipped sub-request was sent even if the request lacked more shards than could be reopened; it failed in the same step and cancelled the attempt, which cost a connection.

Change: skipped sub-requests are sent only if there are enough of them. The estimate is made for skipped sub-requests only.

--- a/include/tanagervane/serving/admission.h
+++ b/include/tanagervane/serving/admission.h
@@ -42,9 +42,8 @@
   Millis retry_after;
   /// Indices of sub-requests that are not sent because they would wait for a
   /// slot beyond the time when the answer is sent, or longer than the shard's
-  /// queue may become. At most as many sub-requests
-  /// are skipped as the answer can do without; those with the longest wait
-  /// first.
+  /// queue may become. At most as many sub-requests are skipped as the answer
+  /// can do without; those with the longest wait first.
   std::vector<size_t> skipped;
 };
 
--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -196,7 +196,8 @@
   // always does.
   void Advance(Request& request, Millis now);
   void AdvanceSubRequest(Request& request, size_t index, Millis now);
-  /// Sends skipped sub-requests after all while the answer needs them.
+  /// Sends skipped sub-requests after all if the answer needs them and becomes
+  /// possible with them.
   void ReopenSkipped(Request& request, Millis now);
   void SendFirstOrRetry(Request& request, size_t index, Millis now);
   void Hedge(Request& request, size_t index, Millis now);
--- a/include/tanagervane/serving/replica_chooser.h
+++ b/include/tanagervane/serving/replica_chooser.h
@@ -96,6 +96,7 @@
                             Millis latency,
                             Millis median_latency,
                             Millis now);
+
   /// Records a load report of the replica.
   static void RecordLoad(ServingReplica& replica,
                          const LoadReport& load,
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -230,26 +230,36 @@
 }
 
 void Dispatcher::ReopenSkipped(Request& request, Millis now) {
+  const size_t not_failed = request.sub_requests.size() - request.failed_count;
+  const size_t needed = request.route->needed_sub_requests;
+  if (not_failed >= needed) {
+    return;
+  }
+  std::vector<size_t> reopenable;
   for (size_t i = 0; i < request.sub_requests.size(); ++i) {
-    const size_t not_failed =
-        request.sub_requests.size() - request.failed_count;
-    if (not_failed >= request.route->needed_sub_requests) {
-      return;
-    }
-    SubRequest& sub_request = request.sub_requests[i];
-    const SubRequestEstimate estimate = m_chooser.EstimateSubRequest(
-        *sub_request.service, MakeProfile(*request.route), now);
-    if (!sub_request.skipped || !MayReopen(estimate, request.answer_by - now)) {
-      continue;
+    const SubRequest& sub_request = request.sub_requests[i];
+    if (sub_request.skipped &&
+        MayReopen(m_chooser.EstimateSubRequest(
+                      *sub_request.service, MakeProfile(*request.route), now),
+                  request.answer_by - now)) {
+      reopenable.push_back(i);
     }
+  }
+  const size_t lacking = needed - not_failed;
+  if (reopenable.size() < lacking) {
+    return;
+  }
+  reopenable.resize(lacking);
+  for (const size_t index : reopenable) {
+    SubRequest& sub_request = request.sub_requests[index];
     sub_request.skipped = false;
     sub_request.state = SubRequestState::kOpen;
     sub_request.failure_reason = AnswerReason::kNone;
     --request.failed_count;
     request.trace.push_back({TraceEvent::Type::kReopened,
-                             static_cast<uint16_t>(i), now - request.arrived_at,
-                             nullptr});
-    AdvanceSubRequest(request, i, now);
+                             static_cast<uint16_t>(index),
+                             now - request.arrived_at, nullptr});
+    AdvanceSubRequest(request, index, now);
   }
 }
 
