Merge two functions of vary_site.py that differed in the number format

Cause: scale() and scale_integer() were the same but for the format.

Change: scale() takes the format.

--- a/utils/vary_site.py
+++ b/utils/vary_site.py
@@ -15,10 +15,11 @@
 import tomllib
 
 
-def scale(text, field, factor):
+def scale(text, field, factor, format_spec=".4g"):
     """Multiplies all values of a numeric field."""
     return re.sub(rf"\b{field} = ([\d.]+)",
-                  lambda match: f"{field} = {float(match[1]) * factor:.4g}", text)
+                  lambda match: f"{field} = {float(match[1]) * factor:{format_spec}}",
+                  text)
 
 
 def replace(text, field, value):
@@ -40,16 +41,11 @@
     "half-traffic": lambda text: scale(text, "per_s", 0.5),
     "more-traffic": lambda text: scale(text, "per_s", 1.3),
     "fewer-required": lambda text: scale(text, "least", 0.8),
-    "twice-the-shards": lambda text: scale_integer(text, "copies", 2),
+    "twice-the-shards": lambda text: scale(text, "copies", 2, ".0f"),
     "two-replicas": two_replicas,
 }
 
 
-def scale_integer(text, field, factor):
-    return re.sub(rf"\b{field} = (\d+)",
-                  lambda match: f"{field} = {int(match[1]) * factor}", text)
-
-
 def main():
     if len(sys.argv) != 3:
         sys.exit(__doc__.splitlines()[-1])
