Log what replicas state about themselves

Change: the adapter decodes Server-Leaving from any response, also from the reply to a health probe, into SelfReport. A change is logged as replica_report; tanagervane_sends_to_leaving_total counts attempts to replicas that had stated it. Nothing is decided from it yet. The load in a response of another replica at the address (421) no longer counts for the replica.

Measured: unit tests of serving and platform pass.

--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -57,6 +57,8 @@
   /// Called when a replica becomes unresponsive or answers again.
   std::function<void(ServingReplica&, std::string_view reason)>
       on_health_changed;
+  /// Called when a replica states something else about itself than before.
+  std::function<void(const ServingReplica&, const SelfReport&)> on_self_report;
 };
 
 struct DispatcherStats {
@@ -66,6 +68,8 @@
   uint64_t retries = 0;
   uint64_t cancelled_attempts = 0;
   uint64_t probes = 0;
+  /// Attempts sent to replicas that had stated that they leave.
+  uint64_t attempts_to_leaving = 0;
 };
 
 /// State machine of all running requests. It has no clock and does no I/O: the
@@ -102,7 +106,9 @@
 
   void OnReply(uint64_t attempt, ReplicaReply reply, Millis now);
   void OnFailure(uint64_t attempt, FailureKind kind, Millis now);
-  void OnProbeResult(ServingReplica& replica, bool healthy, Millis now);
+  void OnProbeReply(ServingReplica& replica,
+                    const ProbeReply& reply,
+                    Millis now);
 
   void OnTick(Millis now);
   /// Time at which OnTick() must be called next; nullopt when no timer is set.
@@ -236,6 +242,9 @@
   /// request is not abandoned. Its reply would end the overdue state, so it is
   /// not cancelled before kMaxOverdueAttemptAge.
   static bool MayShowRecovery(const Attempt& attempt, uint64_t id);
+  void RecordSelfReport(ServingReplica& replica,
+                        const SelfReport& report,
+                        Millis now);
   void RecordReply(Attempt& attempt, const ReplicaReply& reply, Millis now);
   void ApplyReply(Request& request,
                   SubRequest& sub_request,
--- a/include/tanagervane/serving/exchange.h
+++ b/include/tanagervane/serving/exchange.h
@@ -13,6 +13,7 @@
 
 #include "tanagervane/http/message.h"
 #include "tanagervane/serving/replica_set.h"
+#include "tanagervane/serving/self_report.h"
 #include "tanagervane/support/millis.h"
 
 namespace tanagervane {
@@ -53,7 +54,7 @@
   std::string signature;
   HttpFields fields;
   std::string body;
-  std::optional<LoadReport> load;
+  SelfReport self_report;
 };
 
 /// How a request ended.
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -16,6 +16,7 @@
 
 #include "tanagervane/serving/config.h"
 #include "tanagervane/serving/retry_budget.h"
+#include "tanagervane/serving/self_report.h"
 #include "tanagervane/support/millis.h"
 
 namespace tanagervane {
@@ -43,13 +44,6 @@
   bool operator==(const ReplicaRegistration&) const = default;
 };
 
-/// Load that a replica reports with each response.
-struct LoadReport {
-  uint32_t running = 0;
-  uint32_t waiting = 0;
-  uint32_t slots = 0;
-};
-
 struct Service;
 
 /// One incarnation of a replica.
@@ -60,6 +54,8 @@
   Service* service = nullptr;
   /// The replica is draining or removed and receives no new requests.
   bool leaving = false;
+  /// The replica has stated in a response that it is leaving.
+  bool leaving_reported = false;
   /// When the registration vanished although the replica was not draining. The
   /// replica stays in use for a grace time, because the registration may come
   /// back.
--- /dev/null
+++ b/include/tanagervane/serving/self_report.h
@@ -0,0 +1,35 @@
+// What replicas state about themselves in their responses.
+
+#ifndef TANAGERVANE_SERVING_SELF_REPORT_H_
+#define TANAGERVANE_SERVING_SELF_REPORT_H_
+
+#include <cstdint>
+#include <optional>
+
+namespace tanagervane {
+
+/// Load that a replica reports with each response.
+struct LoadReport {
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint32_t slots = 0;
+};
+
+/// The statements of a replica about itself in one response.
+struct SelfReport {
+  std::optional<LoadReport> load;
+  /// The replica is about to end and takes no new requests.
+  bool leaving = false;
+};
+
+/// A replica's response to a health probe.
+struct ProbeReply {
+  /// The replica answered that it is healthy.
+  bool healthy = false;
+  /// Empty if the replica did not answer.
+  SelfReport self_report;
+};
+
+}  // namespace tanagervane
+
+#endif  // TANAGERVANE_SERVING_SELF_REPORT_H_
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -403,6 +403,7 @@
   request.trace.push_back(
       {type, static_cast<uint16_t>(index), now - request.arrived_at, replica});
   ++m_stats.attempts;
+  m_stats.attempts_to_leaving += replica->leaving_reported ? 1 : 0;
   m_hooks.send({id, request.caller_request, replica, request.deadline - now});
 }
 
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -76,6 +76,17 @@
   return it->second.get();
 }
 
+void Dispatcher::RecordSelfReport(ServingReplica& replica,
+                                  const SelfReport& report,
+                                  Millis now) {
+  if (report.load) {
+    ReplicaChooser::RecordLoad(replica, *report.load, now);
+  }
+  if (report.leaving && !std::exchange(replica.leaving_reported, true)) {
+    m_hooks.on_self_report(replica, report);
+  }
+}
+
 void Dispatcher::RecordReply(Attempt& attempt,
                              const ReplicaReply& reply,
                              Millis now) {
@@ -84,13 +95,11 @@
       std::max(replica.last_answered_sent_at, attempt.sent_at);
   replica.last_answer_at = now;
   replica.unanswered_since.reset();
-  if (reply.load) {
-    ReplicaChooser::RecordLoad(replica, *reply.load, now);
-  }
   if (reply.kind == ReplyKind::kMisdirected) {
     MarkUnresponsive(replica, "misdirected", now);
     return;
   }
+  RecordSelfReport(replica, reply.self_report, now);
   MarkResponsive(replica, now);
   const bool success = reply.kind == ReplyKind::kSuccess;
   ReplicaChooser::RecordOutcome(replica, !success, now);
@@ -295,12 +304,13 @@
   }
 }
 
-void Dispatcher::OnProbeResult(ServingReplica& replica,
-                               bool healthy,
-                               Millis now) {
+void Dispatcher::OnProbeReply(ServingReplica& replica,
+                              const ProbeReply& reply,
+                              Millis now) {
   replica.probe_in_flight = false;
   replica.next_probe_at = now + kProbeInterval;
-  if (healthy) {
+  RecordSelfReport(replica, reply.self_report, now);
+  if (reply.healthy) {
     replica.last_answer_at = now;
     replica.unanswered_since.reset();
     MarkResponsive(replica, now);
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -285,6 +285,13 @@
       m_connections.CloseIdle(replica);
     }
   };
+  hooks.on_self_report = [](const ServingReplica& replica,
+                            const SelfReport& report) {
+    LogEvent("replica_report")
+        .Field("replica", replica.registration.id)
+        .Field("service", replica.registration.service)
+        .Field("leaving", report.leaving);
+  };
   return hooks;
 }
 
@@ -351,8 +358,9 @@
 void Node::OnProbeDone(uint64_t exchange, const ExchangeResult& result) {
   const auto node = m_probes.extract(exchange);
   ServingReplica& replica = *node.mapped();
-  const bool healthy = !result.error && IsHealthy(replica, result.response);
-  m_dispatcher.OnProbeResult(replica, healthy, Poller::Now());
+  const ProbeReply reply =
+      result.error ? ProbeReply() : DecodeProbeReply(replica, result.response);
+  m_dispatcher.OnProbeReply(replica, reply, Poller::Now());
 }
 
 bool Node::IsReady() const {
@@ -393,6 +401,9 @@
               m_store->stats().calls);
   set_counter("tanagervane_store_failures_total", "Calls without an answer.",
               m_store->stats().failures);
+  set_counter("tanagervane_sends_to_leaving_total",
+              "Sends to replicas that had stated that they leave.",
+              dispatcher.attempts_to_leaving);
   const auto set_gauge = [&](std::string_view name, std::string_view help,
                              double value) {
     metrics.GetGauge(name, help).Set(value);
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -223,7 +223,7 @@
 }
 
 TEST_F(ReplyTest, LoadReportIsParsed) {
-  const auto load = DecodeReply(m_response).load;
+  const auto load = DecodeReply(m_response).self_report.load;
   ASSERT_TRUE(load);
   EXPECT_EQ(load->running, 3u);
   EXPECT_EQ(load->waiting, 1u);
@@ -254,11 +254,26 @@
   replica.registration.id = "i-1";
   HttpResponseMessage response;
   response.status = 200;
-  EXPECT_FALSE(IsHealthy(replica, response));
+  response.fields.Add("Server-Leaving", "1");
+  EXPECT_FALSE(DecodeProbeReply(replica, response).healthy);
+  EXPECT_FALSE(DecodeProbeReply(replica, response).self_report.leaving);
   response.fields.Add("Instance-Id", "i-1");
-  EXPECT_TRUE(IsHealthy(replica, response));
+  EXPECT_TRUE(DecodeProbeReply(replica, response).healthy);
+  EXPECT_TRUE(DecodeProbeReply(replica, response).self_report.leaving);
   response.status = 503;
-  EXPECT_FALSE(IsHealthy(replica, response));
+  EXPECT_FALSE(DecodeProbeReply(replica, response).healthy);
+}
+
+// A replica repeats the statement in every response, also in those that reject
+// or fail.
+TEST_F(ReplyTest, LeavingIsDecodedFromAnyResponse) {
+  for (const unsigned status : {200U, 429U, 500U, 503U}) {
+    m_response.status = status;
+    m_response.fields = {};
+    EXPECT_FALSE(DecodeReply(m_response).self_report.leaving);
+    m_response.fields.Add("Server-Leaving", "1");
+    EXPECT_TRUE(DecodeReply(m_response).self_report.leaving);
+  }
 }
 
 }  // namespace
--- a/unittests/serving/dispatcher_test.cc
+++ b/unittests/serving/dispatcher_test.cc
@@ -385,7 +385,8 @@
   h.dispatcher.CheckReplicaHealth(h.now);
   ASSERT_EQ(h.probes.size(), 1u);
   EXPECT_EQ(h.probes[0].get(), unresponsive_replica);
-  h.dispatcher.OnProbeResult(*unresponsive_replica, true, h.now);
+  h.dispatcher.OnProbeReply(*unresponsive_replica,
+                            {.healthy = true, .self_report = {}}, h.now);
   EXPECT_FALSE(unresponsive_replica->unresponsive);
 }
 
--- a/unittests/serving/overload_test.cc
+++ b/unittests/serving/overload_test.cc
@@ -166,6 +166,7 @@
     hooks.on_finished = [](const RequestReport&) {};
     hooks.probe = [](const std::shared_ptr<ServingReplica>&) {};
     hooks.on_health_changed = [](ServingReplica&, std::string_view) {};
+    hooks.on_self_report = [](const ServingReplica&, const SelfReport&) {};
     return hooks;
   }
 
@@ -246,7 +247,7 @@
     reply.kind = kind;
     reply.status = kind == ReplyKind::kSuccess ? 200 : 503;
     reply.signature = fmt::format("{}", attempt);
-    reply.load =
+    reply.self_report.load =
         LoadReport{static_cast<uint32_t>(replica.running.size()),
                    static_cast<uint32_t>(replica.waiting.size()), kSlots};
     Schedule(m_now + kOneWayDelay, [this, attempt, reply] {
