--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -256,9 +256,15 @@
         self.work_ms = work_ms
         self.slots = slots
         self.running = 0
+        # Unix time in milliseconds; another value is another incarnation.
+        self.started_at_ms = 1700000000000
         # The ids of the requests that it ran or began.
         self.ran = []
+        # The ids of the requests that reached it, including rejected ones.
+        self.arrived = []
         self.rejected = 0
+        # Whether its responses state that it is about to end.
+        self.leaving = False
         # The address in its registration when that is not its own, such as
         # the one of a link with faults.
         self.public_address = None
@@ -275,22 +281,36 @@
                 "addr": self.public_address or self.address,
                 "zone": "a", "version": "v1", "concurrencyLimit": self.slots,
                 "state": state, "warmupLeftMs": 0, "sequence": 1,
-                "born": 1700000000000}
+                "born": self.started_at_ms}
 
     def register(self, state="ready"):
         self.platform.store.put("servers", self.name, self.registration(state))
 
+    def leave(self):
+        """Reports to the store and in each response that it is about to end.
+        It goes on serving."""
+        self.leaving = True
+        self.register("draining")
+
+    def statements(self):
+        """The header fields by which a response describes the replica."""
+        fields = [("Instance-Id", self.name),
+                  ("Load", "%d,0,%d" % (self.running, self.slots))]
+        if self.leaving:
+            fields.append(("Server-Leaving", "1"))
+        return fields
+
     def headers(self, request):
         return [("Request-Id", request.headers.get("request-id", "")),
-                ("Instance-Id", self.name),
-                ("Load", "%d,0,%d" % (self.running, self.slots))]
+                *self.statements()]
 
     async def answer(self, request):
         if request.path == "/healthz":
-            status = 503 if self.mode == "silent" else 200
-            return response(status, b"", [("Instance-Id", self.name)])
+            status = 503 if self.mode == "silent" or self.leaving else 200
+            return response(status, b"", self.statements())
         if request.headers.get("target-instance") not in (None, self.name):
             return response(421, b"", [("Instance-Id", self.name)])
+        self.arrived.append(request.headers.get("request-id"))
         if self.mode == "shed":
             self.rejected += 1
             return response(503, b"", self.headers(request) +
