Send nothing to replicas that have stated that they leave

Seen by callers and operators: a request reaches a replica some time after it has said that it leaves.

Cause: a VM learned from the store only that a replica leaves. One that did not reach the store, or whose watch lagged, went on sending until the replica's process was gone, although each response said so.

Change: a statement in any response of the replica ends its use for good, also in a failure, a rejection, the response to a superseded attempt and the reply to a health probe; not in a 421, which another replica sends. Send() asserts it. The log names the reason stated_leaving. The counter and the log line that the timeline needed go: no attempt to a leaving replica can happen.

--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -57,8 +57,6 @@
   /// Called when a replica becomes unresponsive or answers again.
   std::function<void(ServingReplica&, std::string_view reason)>
       on_health_changed;
-  /// Called when a replica states something else about itself than before.
-  std::function<void(const ServingReplica&, const SelfReport&)> on_self_report;
 };
 
 struct DispatcherStats {
@@ -68,8 +66,6 @@
   uint64_t retries = 0;
   uint64_t cancelled_attempts = 0;
   uint64_t probes = 0;
-  /// Attempts sent to replicas that had stated that they leave.
-  uint64_t attempts_to_leaving = 0;
 };
 
 /// State machine of all running requests. It has no clock and does no I/O: the
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -52,10 +52,9 @@
   std::string key;
   ReplicaRegistration registration;
   Service* service = nullptr;
-  /// The replica is draining or removed and receives no new requests.
+  /// The replica is draining, has stated that it leaves, or is removed. It
+  /// receives no new requests.
   bool leaving = false;
-  /// The replica has stated in a response that it is leaving.
-  bool leaving_reported = false;
   /// When the registration vanished although the replica was not draining. The
   /// replica stays in use for a grace time, because the registration may come
   /// back.
@@ -153,6 +152,10 @@
   /// time.
   void Remove(std::string_view id, Millis now);
 
+  /// Ends the use of a replica that is about to end. Has no effect on one that
+  /// is leaving already.
+  void MarkLeaving(ServingReplica& replica, std::string_view reason);
+
   /// Applies a complete list; replicas that are not listed count as removed.
   void ApplyList(std::span<const ReplicaRegistration> registrations,
                  Millis now);
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -372,6 +372,7 @@
                       const std::shared_ptr<ServingReplica>& replica,
                       TraceEvent::Type type,
                       Millis now) {
+  assert(!replica->leaving && "an attempt is sent to a leaving replica");
   SubRequest& sub_request = request.sub_requests[index];
   const uint64_t id = ++m_last_attempt_id;
   Attempt attempt;
@@ -403,7 +404,6 @@
   request.trace.push_back(
       {type, static_cast<uint16_t>(index), now - request.arrived_at, replica});
   ++m_stats.attempts;
-  m_stats.attempts_to_leaving += replica->leaving_reported ? 1 : 0;
   m_hooks.send({id, request.caller_request, replica, request.deadline - now});
 }
 
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -82,8 +82,8 @@
   if (report.load) {
     ReplicaChooser::RecordLoad(replica, *report.load, now);
   }
-  if (report.leaving && !std::exchange(replica.leaving_reported, true)) {
-    m_hooks.on_self_report(replica, report);
+  if (report.leaving) {
+    m_replicas.MarkLeaving(replica, "stated_leaving");
   }
 }
 
--- a/lib/serving/replica_set.cc
+++ b/lib/serving/replica_set.cc
@@ -112,12 +112,19 @@
   if (registration.warm_up_left > Millis(0)) {
     replica.warming_up_until = now + registration.warm_up_left;
   }
-  if (registration.draining && !replica.leaving) {
-    replica.leaving = true;
-    m_hooks.on_retired(replica, "draining");
+  if (registration.draining) {
+    MarkLeaving(replica, "draining");
   }
 }
 
+void ReplicaSet::MarkLeaving(ServingReplica& replica, std::string_view reason) {
+  if (replica.leaving) {
+    return;
+  }
+  replica.leaving = true;
+  m_hooks.on_retired(replica, reason);
+}
+
 void ReplicaSet::Remove(std::string_view id, Millis now) {
   const auto it = m_replicas.find(id);
   if (it == m_replicas.end()) {
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -285,13 +285,6 @@
       m_connections.CloseIdle(replica);
     }
   };
-  hooks.on_self_report = [](const ServingReplica& replica,
-                            const SelfReport& report) {
-    LogEvent("replica_report")
-        .Field("replica", replica.registration.id)
-        .Field("service", replica.registration.service)
-        .Field("leaving", report.leaving);
-  };
   return hooks;
 }
 
@@ -401,9 +394,6 @@
               m_store->stats().calls);
   set_counter("tanagervane_store_failures_total", "Calls without an answer.",
               m_store->stats().failures);
-  set_counter("tanagervane_sends_to_leaving_total",
-              "Sends to replicas that had stated that they leave.",
-              dispatcher.attempts_to_leaving);
   const auto set_gauge = [&](std::string_view name, std::string_view help,
                              double value) {
     metrics.GetGauge(name, help).Set(value);
--- a/unittests/serving/dispatcher_harness.h
+++ b/unittests/serving/dispatcher_harness.h
@@ -158,7 +158,6 @@
       probes.push_back(replica);
     };
     hooks.on_health_changed = [](ServingReplica&, std::string_view) {};
-    hooks.on_self_report = [](const ServingReplica&, const SelfReport&) {};
     return hooks;
   }
 };
--- a/unittests/serving/overload_test.cc
+++ b/unittests/serving/overload_test.cc
@@ -166,7 +166,6 @@
     hooks.on_finished = [](const RequestReport&) {};
     hooks.probe = [](const std::shared_ptr<ServingReplica>&) {};
     hooks.on_health_changed = [](ServingReplica&, std::string_view) {};
-    hooks.on_self_report = [](const ServingReplica&, const SelfReport&) {};
     return hooks;
   }
 
