Remember leaving replicas beyond the removal of their registration

Seen by callers and operators: as before, a request reaches a replica that has said that it leaves.

Cause: that a replica leaves was kept in its table entry and forgotten with it. A registration that comes back, by a late heartbeat or after an outage of the store, made the same incarnation a new, usable replica.

Change: LeavingReplicas remembers leaving incarnations (id and start time) for ten minutes. A registration of one of them adds a replica that is leaving. A later start under the same id is another incarnation and is used.

--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "tanagervane/serving/config.h"
+#include "tanagervane/serving/leaving_replicas.h"
 #include "tanagervane/serving/retry_budget.h"
 #include "tanagervane/serving/self_report.h"
 #include "tanagervane/support/millis.h"
@@ -152,9 +153,10 @@
   /// time.
   void Remove(std::string_view id, Millis now);
 
-  /// Ends the use of a replica that is about to end. Has no effect on one that
-  /// is leaving already.
-  void MarkLeaving(ServingReplica& replica, std::string_view reason);
+  /// Ends the use of this incarnation of a replica, which is about to end.
+  void MarkLeaving(ServingReplica& replica,
+                   std::string_view reason,
+                   Millis now);
 
   /// Applies a complete list; replicas that are not listed count as removed.
   void ApplyList(std::span<const ReplicaRegistration> registrations,
@@ -165,7 +167,8 @@
   void SetStoreReachable(bool reachable, Millis now);
 
   /// Retires replicas whose registration lapsed and did not come back within
-  /// the grace time.
+  /// the grace time, and forgets incarnations that left long ago. Call it a few
+  /// times a second.
   void RetireLapsed(Millis now);
 
   const ServingReplica* Find(std::string_view id) const;
@@ -188,6 +191,7 @@
   ReplicaSetHooks m_hooks;
   std::map<std::string, std::unique_ptr<Service>, std::less<>> m_services;
   Replicas m_replicas;
+  LeavingReplicas m_leaving;
   size_t m_vm_count = 1;
   RetryLimits m_retry_limits;
   Millis m_drain_timeout{3000};
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -83,7 +83,7 @@
     ReplicaChooser::RecordLoad(replica, *report.load, now);
   }
   if (report.leaving) {
-    m_replicas.MarkLeaving(replica, "stated_leaving");
+    m_replicas.MarkLeaving(replica, "stated_leaving", now);
   }
 }
 
--- a/lib/serving/replica_set.cc
+++ b/lib/serving/replica_set.cc
@@ -77,6 +77,9 @@
   replica->service->replicas.push_back(replica);
   m_replicas[registration.id] = replica;
   m_hooks.on_added(*replica);
+  if (m_leaving.Contains(HashIncarnation(replica->key))) {
+    MarkLeaving(*replica, "left_before", now);
+  }
 }
 
 void ReplicaSet::Retire(Replicas::iterator it, std::string_view reason) {
@@ -113,15 +116,18 @@
     replica.warming_up_until = now + registration.warm_up_left;
   }
   if (registration.draining) {
-    MarkLeaving(replica, "draining");
+    MarkLeaving(replica, "draining", now);
   }
 }
 
-void ReplicaSet::MarkLeaving(ServingReplica& replica, std::string_view reason) {
-  if (replica.leaving) {
+void ReplicaSet::MarkLeaving(ServingReplica& replica,
+                             std::string_view reason,
+                             Millis now) {
+  // A retired replica is remembered too: its registration may come back.
+  m_leaving.Add(HashIncarnation(replica.key), now);
+  if (std::exchange(replica.leaving, true)) {
     return;
   }
-  replica.leaving = true;
   m_hooks.on_retired(replica, reason);
 }
 
@@ -180,6 +186,7 @@
 }
 
 void ReplicaSet::RetireLapsed(Millis now) {
+  m_leaving.Expire(now);
   const Millis grace = LapseGrace(now);
   std::vector<std::string> lapsed;
   for (const auto& [id, replica] : m_replicas) {
--- a/unittests/serving/components_test.cc
+++ b/unittests/serving/components_test.cc
@@ -210,6 +210,50 @@
   EXPECT_FALSE(m_set.Find("r")->leaving);
 }
 
+// Guards against using a leaving replica again because a late heartbeat or the
+// end of a store outage restores its registration.
+TEST_F(ReplicaSetTest, LeavingIsRememberedAfterTheRemoval) {
+  ReplicaRegistration draining = MakeRegistration("r");
+  draining.draining = true;
+  m_set.Apply(draining, Millis(0));
+  m_set.Remove("r", Millis(3000));
+  m_set.Apply(MakeRegistration("r"), Millis(3500));
+  EXPECT_TRUE(m_set.Find("r")->leaving);
+  m_set.Remove("r", Millis(4000));
+  ReplicaRegistration other_address = MakeRegistration("r");
+  other_address.address = "127.0.0.1:2";
+  m_set.Apply(other_address, Millis(5000));
+  EXPECT_TRUE(m_set.Find("r")->leaving);
+  m_set.Apply(MakeRegistration("r", 2), Millis(6000));
+  EXPECT_FALSE(m_set.Find("r")->leaving);
+}
+
+// Guards against forgetting what a replica states in its last responses, after
+// its registration has lapsed.
+TEST_F(ReplicaSetTest, StatementOfARetiredReplicaIsRemembered) {
+  m_set.Apply(MakeRegistration("r"), Millis(0));
+  const std::shared_ptr<ServingReplica> replica =
+      m_set.GetService("s").replicas.front();
+  m_set.Remove("r", Millis(1000));
+  m_set.RetireLapsed(Millis(5000));
+  ASSERT_EQ(ReplicasInUse(), 0u);
+  m_set.MarkLeaving(*replica, "stated_leaving", Millis(5001));
+  m_set.Apply(MakeRegistration("r"), Millis(6000));
+  EXPECT_TRUE(m_set.Find("r")->leaving);
+}
+
+// Guards against memory that grows with each replica that ever left.
+TEST(LeavingReplicasTest, EntriesExpire) {
+  LeavingReplicas leaving;
+  EXPECT_TRUE(leaving.Add(1, Millis(0)));
+  EXPECT_FALSE(leaving.Add(1, Millis(500'000)));
+  EXPECT_TRUE(leaving.Add(2, Millis(500'000)));
+  leaving.Expire(Millis(700'000));
+  EXPECT_FALSE(leaving.Contains(1));
+  EXPECT_TRUE(leaving.Contains(2));
+  EXPECT_EQ(leaving.size(), 1u);
+}
+
 // Guards against applying the health state of one incarnation to the next.
 TEST_F(ReplicaSetTest, NewIncarnationStartsWithoutHistory) {
   m_set.Apply(MakeRegistration("r", 1), Millis(0));
