Tell other VMs which replicas leave

Seen by callers and operators: as before; a VM that does not reach the store sends to a leaving replica although the other VMs know that it leaves.

Cause: what a VM knew of a replica stayed with it. Gossip told the others only that the store holds a change, which a VM that is cut off cannot read.

Change: ReplicaGossip, a message of its own beside the gossip of members, names the incarnations of which a VM learned within the last three seconds that they leave. It is accepted from the known address of its sender only. VMs of an earlier release drop it and still exchange their membership.

--- a/include/tanagervane/fleet/gossip_sender.h
+++ b/include/tanagervane/fleet/gossip_sender.h
@@ -28,10 +28,16 @@
   std::optional<std::string> listed;
   /// From the VM's record in the peer table, which gossip fills.
   std::optional<std::string> gossiped;
+
+  /// The address from which the VM's messages must come; nullopt when none is
+  /// known. The listed address takes precedence over the gossiped one.
+  const std::optional<std::string>& expected() const {
+    return listed ? listed : gossiped;
+  }
 };
 
 /// Compares the source address of a message with the known address of its
-/// sender. The listed address takes precedence over the gossiped one.
+/// sender.
 SenderStatus ClassifySender(const GossipMessage& message,
                             std::string_view source,
                             const KnownAddresses& known);
--- /dev/null
+++ b/include/tanagervane/fleet/replica_gossip.h
@@ -0,0 +1,41 @@
+// Messages by which the VMs of the tier pass on what replicas state about
+// themselves.
+
+#ifndef TANAGERVANE_FLEET_REPLICA_GOSSIP_H_
+#define TANAGERVANE_FLEET_REPLICA_GOSSIP_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "tanagervane/serving/leaving_replicas.h"
+
+namespace tanagervane {
+
+/// Keeps a message below 1,200 bytes, so that it fits one Ethernet frame.
+inline constexpr size_t kMaxGossipedLeavingReplicas = 100;
+
+/// Separate from GossipMessage, so that VMs of an earlier release, which drop
+/// this message, still exchange their membership with the others.
+struct ReplicaGossip {
+  /// Id of the sending VM.
+  std::string sender;
+  /// Incarnations of which the sender learned recently that they leave.
+  std::vector<IncarnationHash> leaving;
+
+  bool empty() const { return leaving.empty(); }
+};
+
+/// Returns whether a datagram is a replica message, by its first byte.
+bool IsReplicaGossip(std::string_view bytes);
+
+std::string EncodeReplicaGossip(const ReplicaGossip& message);
+
+/// Fails with kInvalidRequest when `bytes` are malformed.
+absl::StatusOr<ReplicaGossip> DecodeReplicaGossip(std::string_view bytes);
+
+}  // namespace tanagervane
+
+#endif  // TANAGERVANE_FLEET_REPLICA_GOSSIP_H_
--- a/include/tanagervane/fleet/udp_gossip.h
+++ b/include/tanagervane/fleet/udp_gossip.h
@@ -11,6 +11,8 @@
 
 #include "absl/status/status.h"
 #include "tanagervane/fleet/gossip_codec.h"
+#include "tanagervane/fleet/gossip_sender.h"
+#include "tanagervane/fleet/replica_gossip.h"
 #include "tanagervane/net/poller.h"
 #include "tanagervane/routing/quarantine.h"
 #include "tanagervane/state/peer_table.h"
@@ -28,6 +30,11 @@
   /// A message was accepted. Its peers and quarantine records are merged
   /// already.
   std::function<void(const GossipMessage&)> on_received;
+  /// Returns what the other VMs must know about replicas; the sender is set by
+  /// the caller. Nothing is sent while it is empty.
+  std::function<ReplicaGossip(Millis now)> make_replica_gossip;
+  /// A message about replicas was accepted.
+  std::function<void(const ReplicaGossip&)> on_replica_gossip;
 };
 
 /// Sends peer and quarantine records to a few peers in each gossip interval,
@@ -59,8 +66,11 @@
 
  private:
   void SendRound(Millis now);
+  void SendTo(const std::string& target, std::string_view bytes);
   void Receive();
   void ProcessDatagram(std::string_view bytes, const std::string& source);
+  void ProcessReplicaGossip(std::string_view bytes, const std::string& source);
+  KnownAddresses FindAddresses(std::string_view vm) const;
   /// Returns whether the message may be merged. Reduces the message of a new VM
   /// to the VM's own record.
   bool AcceptSender(GossipMessage& message, const std::string& source);
--- a/include/tanagervane/serving/leaving_replicas.h
+++ b/include/tanagervane/serving/leaving_replicas.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <string_view>
 #include <unordered_set>
+#include <vector>
 
 #include "tanagervane/support/millis.h"
 
@@ -32,6 +33,10 @@
 
   size_t size() const { return m_incarnations.size(); }
 
+  /// Returns the incarnations that were added so recently that other VMs may
+  /// not know them yet; at most `limit`, the latest first.
+  std::vector<IncarnationHash> Recent(Millis now, size_t limit) const;
+
   /// Forgets the incarnations that were added long ago.
   void Expire(Millis now);
 
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "tanagervane/serving/config.h"
@@ -51,6 +52,8 @@
 struct ServingReplica {
   /// Id and start time; identifies the incarnation.
   std::string key;
+  /// Hash of `key`.
+  IncarnationHash incarnation = 0;
   ReplicaRegistration registration;
   Service* service = nullptr;
   /// The replica is draining, has stated that it leaves, or is removed. It
@@ -158,6 +161,15 @@
                    std::string_view reason,
                    Millis now);
 
+  /// Ends the use of incarnations of which another VM knows that they leave.
+  void MarkLeaving(std::span<const IncarnationHash> incarnations, Millis now);
+
+  /// Returns the incarnations of which other VMs may not know yet that they
+  /// leave, at most `limit`.
+  std::vector<IncarnationHash> RecentlyLeaving(Millis now, size_t limit) const {
+    return m_leaving.Recent(now, limit);
+  }
+
   /// Applies a complete list; replicas that are not listed count as removed.
   void ApplyList(std::span<const ReplicaRegistration> registrations,
                  Millis now);
@@ -191,6 +203,8 @@
   ReplicaSetHooks m_hooks;
   std::map<std::string, std::unique_ptr<Service>, std::less<>> m_services;
   Replicas m_replicas;
+  std::unordered_map<IncarnationHash, std::shared_ptr<ServingReplica>>
+      m_by_incarnation;
   LeavingReplicas m_leaving;
   size_t m_vm_count = 1;
   RetryLimits m_retry_limits;
--- a/lib/fleet/gossip_sender.cc
+++ b/lib/fleet/gossip_sender.cc
@@ -5,10 +5,9 @@
 SenderStatus ClassifySender(const GossipMessage& message,
                             std::string_view source,
                             const KnownAddresses& known) {
-  const auto& expected = known.listed ? known.listed : known.gossiped;
-  if (expected) {
-    return *expected == source ? SenderStatus::kVerified
-                               : SenderStatus::kAddressMismatch;
+  if (known.expected()) {
+    return *known.expected() == source ? SenderStatus::kVerified
+                                       : SenderStatus::kAddressMismatch;
   }
   const bool announces_itself = !message.peers.empty() &&
                                 message.peers.front().id == message.sender &&
--- a/lib/fleet/udp_gossip.cc
+++ b/lib/fleet/udp_gossip.cc
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "tanagervane/fleet/gossip_rounds.h"
-#include "tanagervane/fleet/gossip_sender.h"
 #include "tanagervane/net/socket.h"
 #include "tanagervane/support/error.h"
 #include "tanagervane/support/log.h"
@@ -88,19 +87,29 @@
   }
   m_hooks.add_revisions(message);
   const std::string bytes = EncodeGossip(message);
+  ReplicaGossip replica_gossip = m_hooks.make_replica_gossip(now);
+  replica_gossip.sender = message.sender;
+  const std::string replica_bytes = EncodeReplicaGossip(replica_gossip);
   for (const std::string& target : targets) {
-    const auto address = ParseSocketAddress(target);
-    if (!address.ok()) {
-      LogEvent("gossip_address_invalid").Field("address", target);
-      continue;
+    SendTo(target, bytes);
+    if (!replica_gossip.empty()) {
+      SendTo(target, replica_bytes);
     }
-    // Errors are ignored: gossip tolerates lost datagrams, so it also tolerates
-    // unsent ones.
-    sendto(m_descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT,
-           reinterpret_cast<const sockaddr*>(&*address), sizeof(*address));
   }
 }
 
+void UdpGossip::SendTo(const std::string& target, std::string_view bytes) {
+  const auto address = ParseSocketAddress(target);
+  if (!address.ok()) {
+    LogEvent("gossip_address_invalid").Field("address", target);
+    return;
+  }
+  // Errors are ignored: gossip tolerates lost datagrams, so it also tolerates
+  // unsent ones.
+  sendto(m_descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT,
+         reinterpret_cast<const sockaddr*>(&*address), sizeof(*address));
+}
+
 void UdpGossip::Receive() {
   static std::array<char, kMaxDatagramBytes> bytes;
   while (true) {
@@ -119,6 +128,10 @@
 
 void UdpGossip::ProcessDatagram(std::string_view bytes,
                                 const std::string& source) {
+  if (IsReplicaGossip(bytes)) {
+    ProcessReplicaGossip(bytes, source);
+    return;
+  }
   auto message = DecodeGossip(bytes);
   if (!message.ok()) {
     CountRejected("malformed", source);
@@ -134,14 +147,34 @@
   m_hooks.on_received(*message);
 }
 
-bool UdpGossip::AcceptSender(GossipMessage& message,
-                             const std::string& source) {
+void UdpGossip::ProcessReplicaGossip(std::string_view bytes,
+                                     const std::string& source) {
+  const auto message = DecodeReplicaGossip(bytes);
+  if (!message.ok()) {
+    CountRejected("malformed", source);
+    return;
+  }
+  // A new VM is heard once its own record is known.
+  if (FindAddresses(message->sender).expected() != source) {
+    CountRejected("foreign_address", source);
+    return;
+  }
+  ++m_received;
+  m_hooks.on_replica_gossip(*message);
+}
+
+KnownAddresses UdpGossip::FindAddresses(std::string_view vm) const {
   KnownAddresses known;
-  known.listed = m_hooks.listed_address(message.sender);
-  if (const auto peer = m_peers.Find(message.sender, Poller::Now())) {
+  known.listed = m_hooks.listed_address(vm);
+  if (const auto peer = m_peers.Find(vm, Poller::Now())) {
     known.gossiped = peer->record.peer_address;
   }
-  switch (ClassifySender(message, source, known)) {
+  return known;
+}
+
+bool UdpGossip::AcceptSender(GossipMessage& message,
+                             const std::string& source) {
+  switch (ClassifySender(message, source, FindAddresses(message.sender))) {
     case SenderStatus::kVerified:
       return true;
     case SenderStatus::kNewVm:
--- a/lib/serving/replica_set.cc
+++ b/lib/serving/replica_set.cc
@@ -71,13 +71,15 @@
 void ReplicaSet::Add(const ReplicaRegistration& registration, Millis now) {
   auto replica = std::make_shared<ServingReplica>();
   replica->key = MakeKey(registration);
+  replica->incarnation = HashIncarnation(replica->key);
   replica->registration = registration;
   replica->service = &GetService(registration.service);
   replica->warming_up_until = now + registration.warm_up_left;
   replica->service->replicas.push_back(replica);
   m_replicas[registration.id] = replica;
+  m_by_incarnation[replica->incarnation] = replica;
   m_hooks.on_added(*replica);
-  if (m_leaving.Contains(HashIncarnation(replica->key))) {
+  if (m_leaving.Contains(replica->incarnation)) {
     MarkLeaving(*replica, "left_before", now);
   }
 }
@@ -86,6 +88,7 @@
   const std::shared_ptr<ServingReplica> replica = it->second;
   replica->leaving = true;
   std::erase(replica->service->replicas, replica);
+  m_by_incarnation.erase(replica->incarnation);
   m_replicas.erase(it);
   m_hooks.on_retired(*replica, reason);
 }
@@ -124,13 +127,26 @@
                              std::string_view reason,
                              Millis now) {
   // A retired replica is remembered too: its registration may come back.
-  m_leaving.Add(HashIncarnation(replica.key), now);
+  m_leaving.Add(replica.incarnation, now);
   if (std::exchange(replica.leaving, true)) {
     return;
   }
   m_hooks.on_retired(replica, reason);
 }
 
+void ReplicaSet::MarkLeaving(std::span<const IncarnationHash> incarnations,
+                             Millis now) {
+  for (const IncarnationHash incarnation : incarnations) {
+    const auto known = m_by_incarnation.find(incarnation);
+    if (known != m_by_incarnation.end()) {
+      MarkLeaving(*known->second, "peer_knows_leaving", now);
+    } else {
+      // Its registration may arrive later.
+      m_leaving.Add(incarnation, now);
+    }
+  }
+}
+
 void ReplicaSet::Remove(std::string_view id, Millis now) {
   const auto it = m_replicas.find(id);
   if (it == m_replicas.end()) {
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -68,6 +68,17 @@
             const Millis now = Poller::Now();
             m_config_watcher->OnRemoteRevision(message.config_revision, now);
             m_replica_watcher->OnRemoteRevision(message.replica_revision, now);
+          },
+      .make_replica_gossip =
+          [this](Millis now) {
+            ReplicaGossip message;
+            message.leaving =
+                m_replicas.RecentlyLeaving(now, kMaxGossipedLeavingReplicas);
+            return message;
+          },
+      .on_replica_gossip =
+          [this](const ReplicaGossip& message) {
+            m_replicas.MarkLeaving(message.leaving, Poller::Now());
           }};
 }
 
--- a/unittests/fleet/gossip_codec_test.cc
+++ b/unittests/fleet/gossip_codec_test.cc
@@ -42,10 +42,9 @@
     EXPECT_FALSE(DecodeGossip(bytes.substr(0, size)).ok()) << size;
   }
   EXPECT_FALSE(DecodeGossip(bytes + "x").ok());
-  // Layout version 2, sender "v", both revisions 1, one known peer, and 2^35 - 1
-  // peer records.
-  EXPECT_FALSE(
-      DecodeGossip("\x02\x01v\x01\x01\x01\xff\xff\xff\xff\x7f").ok());
+  // Layout version 2, sender "v", both revisions 1, one known peer, and 2^35 -
+  // 1 peer records.
+  EXPECT_FALSE(DecodeGossip("\x02\x01v\x01\x01\x01\xff\xff\xff\xff\x7f").ok());
   EXPECT_FALSE(DecodeGossip("{\"sender\":\"vm-1\"}").ok());
 }
 
--- a/unittests/serving/components_test.cc
+++ b/unittests/serving/components_test.cc
@@ -242,6 +242,34 @@
   EXPECT_TRUE(m_set.Find("r")->leaving);
 }
 
+// Guards against using a replica of which another VM knows that it leaves,
+// whether its registration was read before or comes later.
+TEST_F(ReplicaSetTest, PeersEndTheUseOfLeavingReplicas) {
+  m_set.Apply(MakeRegistration("a"), Millis(0));
+  m_set.Apply(MakeRegistration("c"), Millis(0));
+  const std::vector<IncarnationHash> leaving = {HashIncarnation("a@1"),
+                                                HashIncarnation("b@1")};
+  m_set.MarkLeaving(leaving, Millis(1));
+  m_set.Apply(MakeRegistration("b"), Millis(2));
+  EXPECT_TRUE(m_set.Find("a")->leaving);
+  EXPECT_TRUE(m_set.Find("b")->leaving);
+  EXPECT_FALSE(m_set.Find("c")->leaving);
+}
+
+// Guards against telling other VMs for ever, and against news that are lost
+// behind older ones.
+TEST(LeavingReplicasTest, OthersAreToldTheLatestFirst) {
+  LeavingReplicas leaving;
+  leaving.Add(1, Millis(0));
+  leaving.Add(2, Millis(1000));
+  leaving.Add(3, Millis(2000));
+  EXPECT_EQ(leaving.Recent(Millis(2000), 2),
+            (std::vector<IncarnationHash>{3, 2}));
+  EXPECT_EQ(leaving.Recent(Millis(3500), 9),
+            (std::vector<IncarnationHash>{3, 2}));
+  EXPECT_TRUE(leaving.Recent(Millis(9000), 9).empty());
+}
+
 // Guards against memory that grows with each replica that ever left.
 TEST(LeavingReplicasTest, EntriesExpire) {
   LeavingReplicas leaving;
