--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -276,5 +276,11 @@
   }
 }
 
+// Guards against the loss of a replica that explicitly states that it stays.
+TEST_F(ReplyTest, ZeroDoesNotMeanLeaving) {
+  m_response.fields.Add("Server-Leaving", "0");
+  EXPECT_FALSE(DecodeReply(m_response).self_report.leaving);
+}
+
 }  // namespace
 }  // namespace tanagervane
