Log the rate limits that replicas state

No log line or metric tells which VM knows a replica's limit, and whether first attempts or extra ones exceed it.

A change is logged as replica_rate_limit; two counters tell the attempts to such replicas and the hedges and retries among them. Nothing is decided from it yet.

Measured: unit tests of serving and platform pass.

--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -57,6 +57,8 @@
   /// Called when a replica becomes unresponsive or answers again.
   std::function<void(ServingReplica&, std::string_view reason)>
       on_health_changed;
+  /// Called when a replica states another rate limit than before, or none.
+  std::function<void(const ServingReplica&)> on_rate_limit_changed;
 };
 
 struct DispatcherStats {
@@ -66,6 +68,10 @@
   uint64_t retries = 0;
   uint64_t cancelled_attempts = 0;
   uint64_t probes = 0;
+  /// Attempts to replicas that state a rate limit, and the hedges and retries
+  /// among them.
+  uint64_t rate_limited_attempts = 0;
+  uint64_t rate_limited_extra_attempts = 0;
 };
 
 /// State machine of all running requests. It has no clock and does no I/O: the
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -81,6 +81,8 @@
   Millis error_updated_at;
   std::optional<LoadReport> load;
   Millis load_reported_at;
+  /// The rate limit that the latest response stated; see SelfReport.
+  std::optional<double> rate_limit;
   /// The load in `load` less this VM's attempts in flight at that time.
   double other_load = 0;
 
--- a/include/tanagervane/serving/self_report.h
+++ b/include/tanagervane/serving/self_report.h
@@ -20,6 +20,9 @@
   std::optional<LoadReport> load;
   /// The replica is about to end and takes no new requests.
   bool leaving = false;
+  /// Requests per second that the replica takes from all VMs together; nullopt
+  /// when it states no limit.
+  std::optional<double> rate_limit;
 };
 
 /// A replica's response to a health probe.
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -404,6 +404,11 @@
   request.trace.push_back(
       {type, static_cast<uint16_t>(index), now - request.arrived_at, replica});
   ++m_stats.attempts;
+  if (replica->rate_limit) {
+    ++m_stats.rate_limited_attempts;
+    m_stats.rate_limited_extra_attempts +=
+        type == TraceEvent::Type::kSent ? 0 : 1;
+  }
   m_hooks.send({id, request.caller_request, replica, request.deadline - now});
 }
 
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -82,6 +82,10 @@
   if (report.load) {
     ReplicaChooser::RecordLoad(replica, *report.load, now);
   }
+  if (report.rate_limit != replica.rate_limit) {
+    replica.rate_limit = report.rate_limit;
+    m_hooks.on_rate_limit_changed(replica);
+  }
   if (report.leaving) {
     m_replicas.MarkLeaving(replica, "stated_leaving", now);
   }
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -285,6 +285,16 @@
       m_connections.CloseIdle(replica);
     }
   };
+  hooks.on_rate_limit_changed = [](const ServingReplica& replica) {
+    LogEvent event("replica_rate_limit");
+    event.Field("replica", replica.registration.id)
+        .Field("service", replica.registration.service);
+    if (replica.rate_limit) {
+      event.Field("per_second", *replica.rate_limit);
+    } else {
+      event.Field("per_second", "none");
+    }
+  };
   return hooks;
 }
 
@@ -388,6 +398,12 @@
               dispatcher.cancelled_attempts);
   set_counter("tanagervane_health_probes_total", "Health probes.",
               dispatcher.probes);
+  set_counter("tanagervane_rate_limited_sends_total",
+              "Sends to replicas that state a rate limit.",
+              dispatcher.rate_limited_attempts);
+  set_counter("tanagervane_rate_limited_extra_sends_total",
+              "Hedges and retries to replicas that state a rate limit.",
+              dispatcher.rate_limited_extra_attempts);
   set_counter("tanagervane_replica_connections_total",
               "Connections opened to replicas.", m_connections.stats().opened);
   set_counter("tanagervane_store_calls_total", "Calls to the platform's store.",
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -276,6 +276,22 @@
   }
 }
 
+// Guards against a malformed limit that is taken for a limit of zero.
+TEST_F(ReplyTest, RateLimitIsDecodedFromAnyResponse) {
+  EXPECT_FALSE(DecodeReply(m_response).self_report.rate_limit);
+  for (const unsigned status : {200U, 429U, 500U, 503U}) {
+    HttpResponseMessage response;
+    response.status = status;
+    response.fields.Add("Server-Limit", "23.1");
+    EXPECT_EQ(DecodeReply(response).self_report.rate_limit, 23.1);
+  }
+  for (const char* text : {"", "-1", "many", "3 ", "inf", "nan", "1e999"}) {
+    HttpResponseMessage response;
+    response.fields.Add("Server-Limit", text);
+    EXPECT_FALSE(DecodeReply(response).self_report.rate_limit) << text;
+  }
+}
+
 // Guards against the loss of a replica that explicitly states that it stays.
 TEST_F(ReplyTest, ZeroDoesNotMeanLeaving) {
   m_response.fields.Add("Server-Leaving", "0");
--- a/unittests/serving/dispatcher_harness.h
+++ b/unittests/serving/dispatcher_harness.h
@@ -158,6 +158,7 @@
       probes.push_back(replica);
     };
     hooks.on_health_changed = [](ServingReplica&, std::string_view) {};
+    hooks.on_rate_limit_changed = [](const ServingReplica&) {};
     return hooks;
   }
 };
--- a/unittests/serving/overload_test.cc
+++ b/unittests/serving/overload_test.cc
@@ -166,6 +166,7 @@
     hooks.on_finished = [](const RequestReport&) {};
     hooks.probe = [](const std::shared_ptr<ServingReplica>&) {};
     hooks.on_health_changed = [](ServingReplica&, std::string_view) {};
+    hooks.on_rate_limit_changed = [](const ServingReplica&) {};
     return hooks;
   }
 
