Wait for the directory of each node in the test of leaving replicas

Cause: a node logs live=2 only if it knew the other one when its estimate of the fleet changed. A node that counts the listed VMs at that moment logs live=1 listed=2 and nothing later.

Change: wait_for_fleet() asks the directories. Node.addresses() replaces two copies in test_platform.py and test_hostile_peers.py.

--- a/integration/platform_cluster.py
+++ b/integration/platform_cluster.py
@@ -61,6 +61,12 @@
         return http_request(self.readiness_address,
                             "/tanagervane/ready").status == 200
 
+    def addresses(self):
+        """Returns the caller addresses in the node's directory."""
+        reply = http_request(self.directory_address,
+                             "/tanagervane/resolve?name=h.example")
+        return set(json.loads(reply.body)["addrs"]) if reply.body else set()
+
     def stop(self):
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGTERM)
@@ -105,6 +111,13 @@
                          (seconds, description))
 
 
+def wait_for_fleet(nodes):
+    """Waits until each of the nodes knows by gossip that all of them serve."""
+    serving = {node.caller_address for node in nodes}
+    wait_for(lambda: all(node.addresses() == serving for node in nodes),
+             "the nodes know each other")
+
+
 # Routes of a configuration: /all/ queries every shard, /one/ and /again/ send a
 # non-idempotent and an idempotent request to a single service.
 def routes(shards=None, single_service="desk"):
--- a/integration/test_hostile_peers.py
+++ b/integration/test_hostile_peers.py
@@ -1,7 +1,6 @@
 """tanagervane-node with peers that send endless replies, hold connections
 open, or forge gossip."""
 
-import json
 import resource
 import socket
 import tempfile
@@ -127,7 +126,7 @@
         self.addCleanup(other.stop)
         wait_for(other.ready, "the second node is ready")
         both = {self.node.caller_address, other.caller_address}
-        wait_for(lambda: self.addresses() == both,
+        wait_for(lambda: self.node.addresses() == both,
                  "both nodes are known to the directory")
         # Layout version, sender, last configuration and replica change, number
         # of known peers, one peer record, no digests, no quarantine.
@@ -144,19 +143,13 @@
         while time.monotonic() < end:
             for datagram in (forged, b"noise", forged[:20]):
                 sender.sendto(datagram, (host, int(port)))
-            self.assertEqual(self.addresses(), both)
+            self.assertEqual(self.node.addresses(), both)
             self.check_merged(call_node(self.node, "/all/x"))
         sender.close()
         self.assertLess(self.node.log().count("event=gossip_rejected"), 6)
         self.assertIn("reason=foreign_address", self.node.log())
         self.assertLess(self.platform.store.calls - calls, 12)
 
-    # The caller addresses in the directory of the first node.
-    def addresses(self):
-        reply = http_request(self.node.directory_address,
-                             "/tanagervane/resolve?name=h.example")
-        return set(json.loads(reply.body)["addrs"]) if reply.body else set()
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/integration/test_leaving_replicas.py
+++ b/integration/test_leaving_replicas.py
@@ -7,7 +7,8 @@
 import unittest
 
 from fault_links import Links
-from platform_cluster import BASE_PORT, Node, call_node, wait_for
+from platform_cluster import (BASE_PORT, Node, call_node, wait_for,
+                              wait_for_fleet)
 from platform_standin import Platform
 
 LINK_PORTS = BASE_PORT + 6000
@@ -88,8 +89,7 @@
     def test_nodes_tell_each_other(self):
         """Guards against requests from a node that does not reach the store to
         a replica of which another node knows that it leaves."""
-        wait_for(lambda: all("live=2" in n.log() for n in self.nodes),
-                 "the nodes know each other")
+        wait_for_fleet(self.nodes)
         self.cut_store()
         # The responses do not state it: only node 1 learns it, from the store.
         self.replica.register("draining")
--- a/integration/test_platform.py
+++ b/integration/test_platform.py
@@ -1,6 +1,5 @@
 """tanagervane-node with the stand-in of the users' platform."""
 
-import json
 import os
 import signal
 import tempfile
@@ -9,7 +8,8 @@
 import unittest
 
 from platform_cluster import (BASE_PORT, SHARDS, Node, call_node,
-                              http_request, merge_problem, routes, wait_for)
+                              http_request, merge_problem, routes, wait_for,
+                              wait_for_fleet)
 from platform_standin import Platform
 
 
@@ -35,12 +35,6 @@
         self.assertEqual(reply.status, 200)
         self.assertEqual(merge_problem(reply), "")
 
-    # The caller addresses in a node's directory.
-    def addresses(self, node):
-        reply = http_request(node.directory_address,
-                             "/tanagervane/resolve?name=h.example")
-        return set(json.loads(reply.body)["addrs"]) if reply.body else set()
-
     def test_every_route_is_served(self):
         """Guards against routes that are not served from end to end."""
         for node in self.nodes:
@@ -50,9 +44,7 @@
                 self.assertEqual(reply.status, 200)
                 self.assertIn("Server-Seal", reply.headers)
         self.assertEqual(self.call_node("/none/x").status, 404)
-        wait_for(lambda: self.addresses(self.nodes[0]) ==
-                 {n.caller_address for n in self.nodes},
-                 "the directory lists both nodes")
+        wait_for_fleet(self.nodes)
 
     def test_damaged_replies_are_not_merged(self):
         """Guards against truncated, stray and failed replies in a merged
@@ -137,7 +129,7 @@
         directory that still lists the stopping node."""
         for replica in self.platform.all_replicas():
             replica.work_ms = 100
-        wait_for(lambda: len(self.addresses(self.nodes[0])) == 2,
+        wait_for(lambda: len(self.nodes[0].addresses()) == 2,
                  "both nodes are known to the directory")
         replies = []
         threads = [threading.Thread(target=lambda: replies.append(
@@ -151,7 +143,7 @@
             thread.join()
         self.assertEqual([r.status for r in replies], [200] * 20)
         self.assertFalse(self.nodes[0].ready())
-        wait_for(lambda: self.addresses(self.nodes[1]) ==
+        wait_for(lambda: self.nodes[1].addresses() ==
                  {self.nodes[1].caller_address},
                  "the stopped node is not listed", 2)
         self.assertEqual(self.nodes[0].process.wait(5), 0)
