Test that replicas get no more than their stated limit, failing

Replicas that state a limit get as many requests as before.

Change: replicas of the platform stand-in state limits and record when requests reach them.

--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -262,9 +262,14 @@
         self.ran = []
         # The ids of the requests that reached it, including rejected ones.
         self.arrived = []
+        # When they reached it, by time.monotonic().
+        self.arrival_times = []
         self.rejected = 0
         # Whether its responses state that it is about to end.
         self.leaving = False
+        # The limit that its responses state: requests per second from all
+        # nodes together. It does not enforce it.
+        self.rate_limit = None
         # The address in its registration when that is not its own, such as
         # the one of a link with faults.
         self.public_address = None
@@ -298,6 +303,8 @@
                   ("Load", "%d,0,%d" % (self.running, self.slots))]
         if self.leaving:
             fields.append(("Server-Leaving", "1"))
+        if self.rate_limit is not None:
+            fields.append(("Server-Limit", str(self.rate_limit)))
         return fields
 
     def headers(self, request):
@@ -311,6 +318,7 @@
         if request.headers.get("target-instance") not in (None, self.name):
             return response(421, b"", [("Instance-Id", self.name)])
         self.arrived.append(request.headers.get("request-id"))
+        self.arrival_times.append(time.monotonic())
         if self.mode == "shed":
             self.rejected += 1
             return response(503, b"", self.headers(request) +
--- /dev/null
+++ b/integration/test_rate_limits.py
@@ -0,0 +1,122 @@
+"""Replicas that state how many requests per second they take from all nodes
+together."""
+
+import concurrent.futures
+import json
+import tempfile
+import time
+import unittest
+
+from platform_cluster import Node, call_node, wait_for, wait_for_fleet
+from platform_standin import Platform
+
+# A replica may get one and a half times its limit and a few requests more in
+# any window of this length.
+WINDOW_S = 4
+EXCESS_FACTOR = 1.5
+EXCESS_REQUESTS = 5
+# A node that was told the limit obeys it after this time.
+REACTION_S = 0.5
+# Requests that are sent at the same time, so that all replicas get some.
+CONCURRENT_REQUESTS = 8
+
+
+class RateLimitsTest(unittest.TestCase):
+    """Two nodes and three replicas of the service "desk"."""
+
+    def setUp(self):
+        self.platform = Platform()
+        self.addCleanup(self.platform.close)
+        self.platform.add_default_services()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.nodes = [Node(1, self.platform, folder.name),
+                      Node(2, self.platform, folder.name)]
+        for node in self.nodes:
+            self.addCleanup(node.stop)
+            wait_for(node.ready, "the node is ready")
+        wait_for_fleet(self.nodes)
+        self.replicas = self.platform.replicas["desk"]
+        for replica in self.replicas:
+            # So slow that requests sent at the same time need all replicas.
+            replica.work_ms = 50
+
+    def send(self, seconds, nodes=None):
+        """Sends requests to the nodes for some time; returns the replies."""
+        replies = []
+        end = time.monotonic() + seconds
+        with concurrent.futures.ThreadPoolExecutor(
+                CONCURRENT_REQUESTS) as pool:
+            while time.monotonic() < end:
+                replies += pool.map(
+                    lambda i: call_node((nodes or self.nodes)[i % 2],
+                                        "/again/x"),
+                    range(CONCURRENT_REQUESTS))
+                time.sleep(0.05)
+        return replies
+
+    def check_limit(self, replica, limit, since):
+        """Checks the arrivals in each window that begins after `since`."""
+        arrivals = [t for t in replica.arrival_times if t >= since]
+        allowed = EXCESS_FACTOR * limit * WINDOW_S + EXCESS_REQUESTS
+        for start in arrivals:
+            count = sum(start <= t < start + WINDOW_S for t in arrivals)
+            self.assertLessEqual(count, allowed)
+
+    def test_nodes_share_the_limit(self):
+        """Guards against more requests than a replica takes from all nodes
+        together, when the others can serve them."""
+        limited = self.replicas[0]
+        limited.rate_limit = 4.0
+        self.send(REACTION_S)
+        since = time.monotonic()
+        replies = self.send(WINDOW_S + 2)
+        self.assertEqual({reply.status for reply in replies}, {200})
+        self.check_limit(limited, limited.rate_limit, since)
+        self.assertGreater(len(limited.arrival_times), WINDOW_S)
+
+    def test_limits_of_all_replicas(self):
+        """Guards against more requests than limited replicas take, and against
+        requests that are held instead of being refused at once, when all
+        replicas of a service state a limit."""
+        for replica in self.replicas:
+            replica.rate_limit = 3.0
+        self.send(REACTION_S)
+        since = time.monotonic()
+        replies = self.send(WINDOW_S + 2)
+        for replica in self.replicas:
+            self.check_limit(replica, replica.rate_limit, since)
+        self.assertEqual({reply.status for reply in replies}, {200, 503})
+        for reply in replies:
+            if reply.status == 503:
+                self.assertLess(reply.seconds, 0.2)
+                self.assertIn("Retry-After", reply.headers)
+                self.assertEqual(json.loads(reply.body)["reason"],
+                                 "rate_limited")
+
+    def test_node_learns_the_limit_from_another(self):
+        """Guards against a node that sends more than its share to a replica
+        that has stated its limit to another node only."""
+        limited = self.replicas[0]
+        limited.rate_limit = 4.0
+        self.send(REACTION_S, [self.nodes[0]] * 2)
+        wait_for(lambda: "event=replica_rate_limit" in self.nodes[1].log(),
+                 "the other node knows the limit", seconds=3)
+
+    def test_limit_ends(self):
+        """Guards against a replica that is spared although it states no limit
+        any more, also by a node that sends it few requests."""
+        limited = self.replicas[0]
+        limited.rate_limit = 0.0
+        self.send(1)
+        limited.rate_limit = None
+        wait_for(lambda: self.send(0.1) and all(
+            "per_second=none" in n.log() for n in self.nodes),
+                 "both nodes know that the limit has ended", seconds=12)
+        known = len(limited.arrival_times)
+        self.send(2)
+        self.assertGreater(len(limited.arrival_times) - known, 20)
+
+
+if __name__ == "__main__":
+    unittest.main()
