Split the admission of requests from dispatcher.cc

Change: dispatcher_admission.cc holds Submit() and what it calls; MakeRequest() and AddSubRequests() are functions of their own. No statement changes.

--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -192,6 +192,14 @@
   /// caller attempts of this request.
   static Millis RemainingObjective(const PlannedRoute& route,
                                    const CallerRequest& caller_request);
+  std::unique_ptr<Request> MakeRequest(RequestKey key,
+                                       PlannedRoute& route,
+                                       const CallerRequest& caller_request,
+                                       Millis time_left,
+                                       Millis now) const;
+  /// Adds a sub-request for each shard, or one for the service that is next in
+  /// the route's traffic split, and credits the retry budgets.
+  static void AddSubRequests(Request& request, Millis now);
   Admission Admit(const Request& request, Millis now) const;
   void Refuse(RequestKey key,
               const CallerRequest& caller_request,
--- /dev/null
+++ b/lib/serving/dispatcher_admission.cc
@@ -0,0 +1,182 @@
+// Dispatcher: new requests, which are admitted or refused.
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "tanagervane/serving/dispatcher.h"
+
+namespace tanagervane {
+
+namespace {
+
+/// Time between the last answer and the caller's deadline. The caller's timeout
+/// starts when it sends the request, and the answer takes time to reach it.
+constexpr Millis kDeadlineMargin{10};
+
+/// A request with less time left than this is refused as expired.
+constexpr Millis kMinTimeLeft{2};
+
+/// Maximum wait for a slot at admission, as a fraction of the objective.
+/// Requests of the most urgent priorities may wait longer, so that others are
+/// refused first.
+constexpr double kUrgentMaxWaitFraction = 1.0;
+constexpr double kNormalMaxWaitFraction = 0.8;
+constexpr uint32_t kMaxUrgentPriority = 1;
+
+/// Short, because another VM has the configuration or this one soon will.
+constexpr Millis kNoConfigRetryAfter{50};
+constexpr Millis kShortRetryAfter{60};
+constexpr Millis kQuarantineRetryAfter{60'000};
+
+}  // namespace
+
+Millis Dispatcher::RemainingObjective(const PlannedRoute& route,
+                                      const CallerRequest& caller_request) {
+  const Millis objective = route.spec.objective;
+  if (!caller_request.time_left) {
+    return objective;
+  }
+  // A caller that retries has spent a part of its time on earlier caller
+  // attempts.
+  LatencyWindow& caller_time_left = route.stats->caller_time_left;
+  const Millis spent = std::max(
+      caller_time_left.median() - *caller_request.time_left, Millis(0));
+  caller_time_left.Record(*caller_request.time_left);
+  return std::max(objective - spent, Millis(0));
+}
+
+void Dispatcher::Submit(RequestKey key,
+                        std::shared_ptr<const CallerRequest> caller_request,
+                        Millis now) {
+  ++m_stats.submitted;
+  if (!m_plan) {
+    Refuse(key, *caller_request, AnswerKind::kRefused, AnswerReason::kNoConfig,
+           kNoConfigRetryAfter, nullptr);
+    return;
+  }
+  PlannedRoute* route =
+      m_plan->Find(caller_request->host, caller_request->target);
+  if (route == nullptr) {
+    Refuse(key, *caller_request, AnswerKind::kUnknownRoute, AnswerReason::kNone,
+           {}, nullptr);
+    return;
+  }
+  const RouteSpec& spec = route->spec;
+  const Millis time_left =
+      std::min(caller_request->time_left.value_or(spec.timeout), spec.timeout);
+  if (time_left < kMinTimeLeft) {
+    Refuse(key, *caller_request, AnswerKind::kRefused, AnswerReason::kExpired,
+           kShortRetryAfter, route);
+    return;
+  }
+  std::unique_ptr<Request> request =
+      MakeRequest(key, *route, *caller_request, time_left, now);
+  if (m_quarantine.Check(request->fingerprint, now) ==
+      Quarantine::Verdict::kRefused) {
+    Refuse(key, *caller_request, AnswerKind::kRefused,
+           AnswerReason::kQuarantined, kQuarantineRetryAfter, route);
+    return;
+  }
+  AddSubRequests(*request, now);
+  const Admission admission = Admit(*request, now);
+  if (admission.refusal) {
+    Refuse(key, *caller_request, AnswerKind::kRefused, *admission.refusal,
+           admission.retry_after, route);
+    return;
+  }
+  for (const size_t index : admission.skipped) {
+    request->trace.push_back({TraceEvent::Type::kSkipped,
+                              static_cast<uint16_t>(index), Millis(0),
+                              nullptr});
+    FailSubRequest(*request, index, AnswerReason::kOverloaded);
+    request->sub_requests[index].skipped = m_options.policy.reopen_skipped;
+  }
+  request->caller_request = std::move(caller_request);
+  Request& running = *request;
+  m_requests[key] = std::move(request);
+  m_timers.emplace(running.timer_at.count(), key);
+  Advance(running, now);
+}
+
+std::unique_ptr<Dispatcher::Request> Dispatcher::MakeRequest(
+    RequestKey key,
+    PlannedRoute& route,
+    const CallerRequest& caller_request,
+    Millis time_left,
+    Millis now) const {
+  auto request = std::make_unique<Request>();
+  request->key = key;
+  request->plan = m_plan;
+  request->route = &route;
+  request->fingerprint =
+      MakeFingerprint(caller_request.host, caller_request.target,
+                      caller_request.method + caller_request.body);
+  request->arrived_at = now;
+  request->deadline = now + std::max(time_left - kDeadlineMargin, kMinTimeLeft);
+  request->objective_deadline = now + RemainingObjective(route, caller_request);
+  request->answer_by = request->objective_deadline - m_options.answer_margin;
+  request->timer_at = request->deadline;
+  return request;
+}
+
+void Dispatcher::AddSubRequests(Request& request, Millis now) {
+  PlannedRoute& route = *request.route;
+  if (route.spec.is_fanout()) {
+    for (Service* shard : route.services) {
+      request.sub_requests.emplace_back().service = shard;
+    }
+  } else {
+    request.sub_requests.emplace_back().service =
+        route.services[route.service_picker.Next()];
+  }
+  for (const SubRequest& sub_request : request.sub_requests) {
+    sub_request.service->retry_budget.CreditSubRequest(now);
+  }
+}
+
+Admission Dispatcher::Admit(const Request& request, Millis now) const {
+  const RouteSpec& spec = request.route->spec;
+  const AttemptProfile profile = MakeProfile(*request.route);
+  std::vector<SubRequestEstimate> estimates;
+  estimates.reserve(request.sub_requests.size());
+  for (const SubRequest& sub_request : request.sub_requests) {
+    estimates.push_back(
+        m_chooser.EstimateSubRequest(*sub_request.service, profile, now));
+  }
+  const double wait_fraction = spec.priority <= kMaxUrgentPriority
+                                   ? kUrgentMaxWaitFraction
+                                   : kNormalMaxWaitFraction;
+  AdmissionLimits limits;
+  limits.needed_sub_requests = request.route->needed_sub_requests;
+  limits.max_wait = m_options.policy.admission ? spec.objective * wait_fraction
+                                               : spec.timeout;
+  limits.time_to_answer =
+      m_options.policy.skipping ? request.answer_by - now : Millis(0);
+  return tanagervane::Admit(estimates, limits);
+}
+
+void Dispatcher::Refuse(RequestKey key,
+                        const CallerRequest& caller_request,
+                        AnswerKind kind,
+                        AnswerReason reason,
+                        Millis retry_after,
+                        const PlannedRoute* route) {
+  FinalAnswer answer;
+  answer.key = key;
+  answer.kind = kind;
+  answer.reason = reason;
+  answer.retry_after = retry_after;
+  RequestReport report;
+  report.request = &caller_request;
+  report.route = route != nullptr ? std::string_view(route->spec.name) : "";
+  report.config_version = m_plan ? m_plan->version() : 0;
+  report.kind = kind;
+  report.reason = reason;
+  report.objective = route != nullptr ? route->spec.objective : Millis(0);
+  report.time_left_on_arrival = caller_request.time_left.value_or(Millis(0));
+  m_hooks.on_finished(report);
+  m_hooks.answer(answer);
+}
+
+}  // namespace tanagervane
