Keep the rate limits that replicas state

Callers notice nothing as long as it answers.

No part of the tier could hold a request back from a replica for a reason other than its own connections.

Not separated: the part of hedges and retries in the excess. First attempts alone were not held back, and extra ones use permits in the same way now.

Change: RateLimiter grants each VM permits for its equal share of the limit, at an even rate; an unused permit expires after a second. RequestLimitTable keeps the limit beyond the removal of the registration. ReplicaChooser::Classify() says why a replica gets no attempt. A request for which too few shards have a permit is refused at once with the time of the next one (reason rate_limited). Send() asserts that the replica takes a request.

--- a/include/tanagervane/serving/admission.h
+++ b/include/tanagervane/serving/admission.h
@@ -16,9 +16,12 @@
 
 /// Estimate for one sub-request before anything is sent.
 struct SubRequestEstimate {
-  /// Shortest estimated wait for a slot among the shard's usable replicas;
-  /// nullopt when it has none.
+  /// Shortest estimated wait for a slot among the shard's usable replicas that
+  /// take requests now; nullopt when it has none.
   std::optional<Millis> min_wait;
+  /// Time until a replica of the shard takes a request that takes none now
+  /// because of a limit it has stated; nullopt when there is no such replica.
+  std::optional<Millis> limit_delay;
   /// Longest wait at which the shard's queue is still short enough for all
   /// routes that use it; nullopt for no limit.
   std::optional<Millis> max_queue_wait;
--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -57,8 +57,6 @@
   /// Called when a replica becomes unresponsive or answers again.
   std::function<void(ServingReplica&, std::string_view reason)>
       on_health_changed;
-  /// Called when a replica states another rate limit than before, or none.
-  std::function<void(const ServingReplica&)> on_rate_limit_changed;
 };
 
 struct DispatcherStats {
@@ -216,6 +214,8 @@
   /// possible with them.
   void ReopenSkipped(Request& request, Millis now);
   void SendFirstOrRetry(Request& request, size_t index, Millis now);
+  /// Waits for a while when replicas are full, else fails the sub-request.
+  void HandleNoReplica(Request& request, size_t index, Millis now);
   void Hedge(Request& request, size_t index, Millis now);
   void Send(Request& request,
             size_t index,
@@ -252,8 +252,13 @@
   /// request is not abandoned. Its reply would end the overdue state, so it is
   /// not cancelled before kMaxOverdueAttemptAge.
   static bool MayShowRecovery(const Attempt& attempt, uint64_t id);
+  /// Records what a replica states in the response to a request that was sent
+  /// at `sent_at`. Only an `intact` response, one that is neither a rejection
+  /// nor a failure, tells by its silence that a rate limit has ended.
   void RecordSelfReport(ServingReplica& replica,
                         const SelfReport& report,
+                        Millis sent_at,
+                        bool intact,
                         Millis now);
   void RecordReply(Attempt& attempt, const ReplicaReply& reply, Millis now);
   void ApplyReply(Request& request,
--- a/include/tanagervane/serving/exchange.h
+++ b/include/tanagervane/serving/exchange.h
@@ -75,6 +75,7 @@
   kNoConfig,     ///< No configuration is known yet.
   kNoReplica,    ///< Too few shards have a usable replica.
   kOverloaded,   ///< The estimated wait for a slot is too long.
+  kRateLimited,  ///< Replicas take no more requests now, as they have stated.
   kQuarantined,  ///< The request crashed the replicas that ran it.
   kExpired,      ///< The caller's deadline had passed on arrival.
   kShed,         ///< Replicas rejected the request.
@@ -117,6 +118,7 @@
     kConnectionLost,
     kNoReplica,
     kReplicasFull,
+    kRateLimited,
     kNoRetryBudget,
     kSkipped,
     kReopened,
--- a/include/tanagervane/serving/replica_chooser.h
+++ b/include/tanagervane/serving/replica_chooser.h
@@ -42,6 +42,16 @@
   bool local_first = true;
 };
 
+/// Whether an attempt can be sent to a replica.
+enum class ReplicaAvailability {
+  kAvailable,
+  kUnusable,     ///< The replica is leaving or unresponsive.
+  kRateLimited,  ///< The replica takes no request now, as it has stated.
+  kFull,         ///< The attempts in flight use all connections that this VM
+                 ///< may have to the replica, or a new connection is needed
+                 ///< while the replica resets new connections.
+};
+
 /// Estimated duration of an attempt on one replica.
 struct TimeEstimate {
   /// Wait for a slot.
@@ -65,26 +75,21 @@
  public:
   ReplicaChooser(ServingPolicy policy, std::string data_centre, uint64_t seed);
 
-  /// Whether the replica may receive requests: it is neither leaving nor
-  /// unresponsive.
-  static bool IsUsable(const ServingReplica& replica);
-
-  /// Whether no attempt can be sent now: the attempts in flight use all
-  /// connections that this VM may have to the replica, or a new connection is
-  /// needed while the replica resets new connections.
-  static bool IsFull(const ServingReplica& replica, Millis now);
+  static ReplicaAvailability Classify(const ServingReplica& replica,
+                                      Millis now);
 
   TimeEstimate Estimate(const ServingReplica& replica,
                         const AttemptProfile& profile,
                         Millis now) const;
 
-  /// Returns the shortest estimated wait among the usable replicas.
+  /// Returns the shortest estimated wait among the usable replicas that take
+  /// requests now, and when others take one.
   SubRequestEstimate EstimateSubRequest(const Service& service,
                                         const AttemptProfile& profile,
                                         Millis now) const;
 
-  /// Returns the replica with the lowest estimate among those that are usable,
-  /// not full and not in `exclude`; nullptr when there is none.
+  /// Returns the replica with the lowest estimate among those that are
+  /// available and not in `exclude`; nullptr when there is none.
   std::shared_ptr<ServingReplica> Choose(
       const Service& service,
       const AttemptProfile& profile,
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -17,6 +17,7 @@
 
 #include "tanagervane/serving/config.h"
 #include "tanagervane/serving/leaving_replicas.h"
+#include "tanagervane/serving/request_limits.h"
 #include "tanagervane/serving/retry_budget.h"
 #include "tanagervane/serving/self_report.h"
 #include "tanagervane/support/millis.h"
@@ -64,6 +65,8 @@
   /// back.
   std::optional<Millis> lapsed_at;
   Millis warming_up_until;
+  /// Never null.
+  std::shared_ptr<RequestLimits> limits;
 
   /// Attempts in flight, in order of sending.
   std::vector<uint64_t> attempts;
@@ -81,8 +84,6 @@
   Millis error_updated_at;
   std::optional<LoadReport> load;
   Millis load_reported_at;
-  /// The rate limit that the latest response stated; see SelfReport.
-  std::optional<double> rate_limit;
   /// The load in `load` less this VM's attempts in flight at that time.
   double other_load = 0;
 
@@ -102,7 +103,8 @@
   /// health probes.
   bool unresponsive = false;
   Millis next_probe_at;
-  bool probe_in_flight = false;
+  /// Send time of the health probe in flight.
+  std::optional<Millis> probe_sent_at;
   /// A connection was lost with an attempt in flight, and the replica has not
   /// answered since.
   bool connection_lost = false;
@@ -128,12 +130,16 @@
   std::function<void(ServingReplica&, std::string_view reason)> on_retired;
   /// Called when a replica was added.
   std::function<void(ServingReplica&)> on_added;
+  /// Called when a replica's rate limit changed, begins or ends.
+  std::function<void(const ServingReplica&)> on_rate_limit_changed;
 };
 
 /// Keeps the replicas of all services in step with their registrations.
 class ReplicaSet {
  public:
-  explicit ReplicaSet(ReplicaSetHooks hooks) : m_hooks(std::move(hooks)) {}
+  /// `seed` must differ between VMs; see RateLimiter::Record().
+  explicit ReplicaSet(ReplicaSetHooks hooks, uint64_t seed = 1)
+      : m_hooks(std::move(hooks)), m_limits(seed) {}
 
   /// Returns the service of this name and creates it if needed. The reference
   /// stays valid for the lifetime of this object.
@@ -142,8 +148,8 @@
   /// Applies the services of a configuration.
   void ApplyServices(std::span<const ServiceSpec> services);
 
-  /// Sets the number of VMs that share connection limits and retry budgets, and
-  /// the limits of the budgets.
+  /// Sets the number of VMs that share connection limits, rate limits and retry
+  /// budgets, and the limits of the budgets.
   void SetFleetSize(size_t vm_count, const RetryLimits& limits);
 
   /// Applies one registration: a new replica, a new incarnation or a change.
@@ -172,6 +178,12 @@
     return m_leaving.Recent(now, limit);
   }
 
+  /// Records the rate limit that the replica stated at this time; nullopt when
+  /// it stated none.
+  void RecordRateLimit(const ServingReplica& replica,
+                       std::optional<double> per_second,
+                       Millis now);
+
   /// Applies a complete list; replicas that are not listed count as removed.
   void ApplyList(std::span<const ReplicaRegistration> registrations,
                  Millis now);
@@ -181,8 +193,8 @@
   void SetStoreReachable(bool reachable, Millis now);
 
   /// Retires replicas whose registration lapsed and did not come back within
-  /// the grace time, and forgets incarnations that left long ago. Call it a few
-  /// times a second.
+  /// the grace time, and forgets what replicas that were removed long ago have
+  /// stated. Call it a few times a second.
   void RetireLapsed(Millis now);
 
   const ServingReplica* Find(std::string_view id) const;
@@ -208,6 +220,7 @@
   std::unordered_map<IncarnationHash, std::shared_ptr<ServingReplica>>
       m_by_incarnation;
   LeavingReplicas m_leaving;
+  RequestLimitTable m_limits;
   size_t m_vm_count = 1;
   RetryLimits m_retry_limits;
   Millis m_drain_timeout{3000};
--- a/lib/serving/admission.cc
+++ b/lib/serving/admission.cc
@@ -24,6 +24,28 @@
   return admission;
 }
 
+/// Refuses a request for which `lacking` shards with a replica that takes
+/// requests are missing. Stated limits are the reason if enough replicas take
+/// requests later.
+Admission RefuseForLackOfReplicas(
+    std::span<const SubRequestEstimate> sub_requests,
+    size_t lacking) {
+  std::vector<Millis> delays;
+  for (const SubRequestEstimate& sub_request : sub_requests) {
+    if (!sub_request.min_wait && sub_request.limit_delay) {
+      delays.push_back(*sub_request.limit_delay);
+    }
+  }
+  if (delays.size() < lacking) {
+    return Refuse(AnswerReason::kNoReplica, kNoReplicaRetryAfter);
+  }
+  const auto decisive =
+      delays.begin() + static_cast<std::ptrdiff_t>(lacking - 1);
+  std::nth_element(delays.begin(), decisive, delays.end());
+  return Refuse(AnswerReason::kRateLimited,
+                std::max(*decisive, kMinRetryAfter));
+}
+
 bool IsTooLate(const SubRequestEstimate& sub_request, Millis latest_wait) {
   return sub_request.min_wait &&
          *sub_request.min_wait >
@@ -59,7 +81,8 @@
     }
   }
   if (waits.size() < limits.needed_sub_requests) {
-    return Refuse(AnswerReason::kNoReplica, kNoReplicaRetryAfter);
+    return RefuseForLackOfReplicas(sub_requests,
+                                   limits.needed_sub_requests - waits.size());
   }
   const auto decisive = waits.begin() + static_cast<std::ptrdiff_t>(
                                             limits.needed_sub_requests - 1);
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -25,6 +25,10 @@
 /// fraction of the hedge delay.
 constexpr double kHedgeRecheckFraction = 0.25;
 
+/// A replica with a rate limit gets a hedge only if a permit remains for a
+/// first attempt.
+constexpr size_t kMinPermitsToHedge = 2;
+
 /// A replica that leaves attempts unanswered for this long, or for this many
 /// median latencies of a slower route, is unresponsive.
 constexpr Millis kMinUnresponsiveTimeout{600};
@@ -126,29 +130,7 @@
       m_chooser.Choose(*sub_request.service, MakeProfile(*request.route),
                        sub_request.attempted_replicas, now);
   if (!replica) {
-    const bool has_full_replica = std::ranges::any_of(
-        sub_request.service->replicas, [&](const auto& candidate) {
-          return ReplicaChooser::IsUsable(*candidate) &&
-                 ReplicaChooser::IsFull(*candidate, now) &&
-                 std::ranges::find(sub_request.attempted_replicas,
-                                   candidate.get()) ==
-                     sub_request.attempted_replicas.end();
-        });
-    if (has_full_replica &&
-        now - request.arrived_at < spec.objective * kFullReplicasWaitFraction) {
-      sub_request.retry_at = now + kFullReplicasPollInterval;
-      return;
-    }
-    request.trace.push_back({has_full_replica ? TraceEvent::Type::kReplicasFull
-                                              : TraceEvent::Type::kNoReplica,
-                             static_cast<uint16_t>(index),
-                             now - request.arrived_at, nullptr});
-    const AnswerReason no_replica_reason =
-        has_full_replica ? AnswerReason::kOverloaded : AnswerReason::kNoReplica;
-    FailSubRequest(request, index,
-                   sub_request.failure_reason == AnswerReason::kNone
-                       ? no_replica_reason
-                       : sub_request.failure_reason);
+    HandleNoReplica(request, index, now);
     return;
   }
   const bool is_retry = sub_request.delivered_attempts > 0;
@@ -165,6 +147,40 @@
        is_retry ? TraceEvent::Type::kRetried : TraceEvent::Type::kSent, now);
 }
 
+void Dispatcher::HandleNoReplica(Request& request, size_t index, Millis now) {
+  SubRequest& sub_request = request.sub_requests[index];
+  const auto has_replica = [&](ReplicaAvailability availability) {
+    return std::ranges::any_of(
+        sub_request.service->replicas, [&](const auto& replica) {
+          return ReplicaChooser::Classify(*replica, now) == availability &&
+                 std::ranges::find(sub_request.attempted_replicas,
+                                   replica.get()) ==
+                     sub_request.attempted_replicas.end();
+        });
+  };
+  const bool full = has_replica(ReplicaAvailability::kFull);
+  if (full && now - request.arrived_at <
+                  request.route->spec.objective * kFullReplicasWaitFraction) {
+    sub_request.retry_at = now + kFullReplicasPollInterval;
+    return;
+  }
+  TraceEvent::Type type = TraceEvent::Type::kNoReplica;
+  AnswerReason reason = AnswerReason::kNoReplica;
+  if (full) {
+    type = TraceEvent::Type::kReplicasFull;
+    reason = AnswerReason::kOverloaded;
+  } else if (has_replica(ReplicaAvailability::kRateLimited)) {
+    type = TraceEvent::Type::kRateLimited;
+    reason = AnswerReason::kRateLimited;
+  }
+  request.trace.push_back(
+      {type, static_cast<uint16_t>(index), now - request.arrived_at, nullptr});
+  FailSubRequest(request, index,
+                 sub_request.failure_reason == AnswerReason::kNone
+                     ? reason
+                     : sub_request.failure_reason);
+}
+
 void Dispatcher::Hedge(Request& request, size_t index, Millis now) {
   SubRequest& sub_request = request.sub_requests[index];
   const PlannedRoute& route = *request.route;
@@ -205,6 +221,10 @@
 bool Dispatcher::MayHedgeOn(const ServingReplica& replica,
                             const PlannedRoute& route,
                             Millis now) const {
+  if (replica.limits->rate_limiter.CountPermits(kMinPermitsToHedge, now) <
+      kMinPermitsToHedge) {
+    return false;
+  }
   const AttemptProfile profile = MakeProfile(route);
   return !m_options.policy.hedge_short_queues ||
          IsQueueShortEnoughToHedge(
@@ -223,6 +243,9 @@
                       TraceEvent::Type type,
                       Millis now) {
   assert(!replica->leaving && "an attempt is sent to a leaving replica");
+  assert(replica->limits->NextRequestAt(now) <= now &&
+         "an attempt exceeds the limit that a replica states");
+  replica->limits->rate_limiter.UsePermit(now);
   SubRequest& sub_request = request.sub_requests[index];
   const uint64_t id = ++m_last_attempt_id;
   Attempt attempt;
@@ -254,7 +277,7 @@
   request.trace.push_back(
       {type, static_cast<uint16_t>(index), now - request.arrived_at, replica});
   ++m_stats.attempts;
-  if (replica->rate_limit) {
+  if (replica->limits->rate_limiter.limit()) {
     ++m_stats.rate_limited_attempts;
     m_stats.rate_limited_extra_attempts +=
         type == TraceEvent::Type::kSent ? 0 : 1;
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -78,13 +78,18 @@
 
 void Dispatcher::RecordSelfReport(ServingReplica& replica,
                                   const SelfReport& report,
+                                  Millis sent_at,
+                                  bool intact,
                                   Millis now) {
   if (report.load) {
     ReplicaChooser::RecordLoad(replica, *report.load, now);
   }
-  if (report.rate_limit != replica.rate_limit) {
-    replica.rate_limit = report.rate_limit;
-    m_hooks.on_rate_limit_changed(replica);
+  const RateLimiter& limiter = replica.limits->rate_limiter;
+  // A response that crossed the latest statement on its way does not end it.
+  const bool ended =
+      limiter.limit() && intact && sent_at >= limiter.stated_at();
+  if (report.rate_limit || ended) {
+    m_replicas.RecordRateLimit(replica, report.rate_limit, now);
   }
   if (report.leaving) {
     m_replicas.MarkLeaving(replica, "stated_leaving", now);
@@ -103,9 +108,9 @@
     MarkUnresponsive(replica, "misdirected", now);
     return;
   }
-  RecordSelfReport(replica, reply.self_report, now);
-  MarkResponsive(replica, now);
   const bool success = reply.kind == ReplyKind::kSuccess;
+  RecordSelfReport(replica, reply.self_report, attempt.sent_at, success, now);
+  MarkResponsive(replica, now);
   ReplicaChooser::RecordOutcome(replica, !success, now);
   if (success) {
     const Millis latency = now - attempt.sent_at;
@@ -311,9 +316,10 @@
 void Dispatcher::OnProbeReply(ServingReplica& replica,
                               const ProbeReply& reply,
                               Millis now) {
-  replica.probe_in_flight = false;
+  const Millis sent_at = replica.probe_sent_at.value_or(now);
+  replica.probe_sent_at.reset();
   replica.next_probe_at = now + kProbeInterval;
-  RecordSelfReport(replica, reply.self_report, now);
+  RecordSelfReport(replica, reply.self_report, sent_at, reply.healthy, now);
   if (reply.healthy) {
     replica.last_answer_at = now;
     replica.unanswered_since.reset();
@@ -329,10 +335,12 @@
         MarkUnresponsive(*replica, "silent", now);
       }
       if (!replica->unresponsive || replica->leaving ||
-          replica->probe_in_flight || now < replica->next_probe_at) {
+          replica->probe_sent_at || now < replica->next_probe_at ||
+          replica->limits->NextRequestAt(now) > now) {
         continue;
       }
-      replica->probe_in_flight = true;
+      replica->probe_sent_at = now;
+      replica->limits->rate_limiter.UsePermit(now);
       ++m_stats.probes;
       m_hooks.probe(replica);
     }
--- a/lib/serving/exchange.cc
+++ b/lib/serving/exchange.cc
@@ -32,6 +32,8 @@
       return "no_replica";
     case AnswerReason::kOverloaded:
       return "overloaded";
+    case AnswerReason::kRateLimited:
+      return "rate_limited";
     case AnswerReason::kQuarantined:
       return "quarantined";
     case AnswerReason::kExpired:
@@ -80,6 +82,8 @@
       return "no_replica";
     case TraceEvent::Type::kReplicasFull:
       return "no_room";
+    case TraceEvent::Type::kRateLimited:
+      return "rate_limited";
     case TraceEvent::Type::kReopened:
       return "reopened";
     case TraceEvent::Type::kSkipped:
--- a/lib/serving/replica_chooser.cc
+++ b/lib/serving/replica_chooser.cc
@@ -69,13 +69,18 @@
                                uint64_t seed)
     : m_policy(policy), m_data_centre(std::move(data_centre)), m_random(seed) {}
 
-bool ReplicaChooser::IsUsable(const ServingReplica& replica) {
-  return !replica.leaving && !replica.unresponsive;
-}
-
-bool ReplicaChooser::IsFull(const ServingReplica& replica, Millis now) {
-  return replica.attempts.size() >= replica.service->max_own_connections ||
-         (replica.idle_connections == 0 && now < replica.no_connect_until);
+ReplicaAvailability ReplicaChooser::Classify(const ServingReplica& replica,
+                                             Millis now) {
+  if (replica.leaving || replica.unresponsive) {
+    return ReplicaAvailability::kUnusable;
+  }
+  if (replica.limits->NextRequestAt(now) > now) {
+    return ReplicaAvailability::kRateLimited;
+  }
+  const bool full =
+      replica.attempts.size() >= replica.service->max_own_connections ||
+      (replica.idle_connections == 0 && now < replica.no_connect_until);
+  return full ? ReplicaAvailability::kFull : ReplicaAvailability::kAvailable;
 }
 
 double ReplicaChooser::Slowness(const ServingReplica& replica,
@@ -145,7 +150,14 @@
     estimate.max_queue_wait = *service.tightest_objective * kMaxQueueFraction;
   }
   for (const auto& replica : service.replicas) {
-    if (!IsUsable(*replica)) {
+    const ReplicaAvailability availability = Classify(*replica, now);
+    if (availability == ReplicaAvailability::kUnusable) {
+      continue;
+    }
+    if (availability == ReplicaAvailability::kRateLimited) {
+      const Millis delay = replica->limits->NextRequestAt(now) - now;
+      estimate.limit_delay =
+          estimate.limit_delay ? std::min(*estimate.limit_delay, delay) : delay;
       continue;
     }
     const Millis wait = Estimate(*replica, profile, now).wait;
@@ -163,7 +175,7 @@
   std::shared_ptr<ServingReplica> best;
   double best_cost = 0;
   for (const auto& replica : service.replicas) {
-    if (!IsUsable(*replica) || IsFull(*replica, now) ||
+    if (Classify(*replica, now) != ReplicaAvailability::kAvailable ||
         std::ranges::find(exclude, replica.get()) != exclude.end()) {
       continue;
     }
--- a/lib/serving/replica_set.cc
+++ b/lib/serving/replica_set.cc
@@ -63,6 +63,7 @@
 void ReplicaSet::SetFleetSize(size_t vm_count, const RetryLimits& limits) {
   m_vm_count = std::max<size_t>(1, vm_count);
   m_retry_limits = limits;
+  m_limits.SetShare(1.0 / static_cast<double>(m_vm_count));
   for (auto& [name, service] : m_services) {
     ApportionLimits(*service);
   }
@@ -75,6 +76,7 @@
   replica->registration = registration;
   replica->service = &GetService(registration.service);
   replica->warming_up_until = now + registration.warm_up_left;
+  replica->limits = m_limits.Get(replica->incarnation, now);
   replica->service->replicas.push_back(replica);
   m_replicas[registration.id] = replica;
   m_by_incarnation[replica->incarnation] = replica;
@@ -147,6 +149,14 @@
   }
 }
 
+void ReplicaSet::RecordRateLimit(const ServingReplica& replica,
+                                 std::optional<double> per_second,
+                                 Millis now) {
+  if (m_limits.RecordRateLimit(replica.incarnation, per_second, now, now)) {
+    m_hooks.on_rate_limit_changed(replica);
+  }
+}
+
 void ReplicaSet::Remove(std::string_view id, Millis now) {
   const auto it = m_replicas.find(id);
   if (it == m_replicas.end()) {
@@ -203,6 +213,7 @@
 
 void ReplicaSet::RetireLapsed(Millis now) {
   m_leaving.Expire(now);
+  m_limits.Expire(now);
   const Millis grace = LapseGrace(now);
   std::vector<std::string> lapsed;
   for (const auto& [id, replica] : m_replicas) {
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -94,6 +94,14 @@
   return response;
 }
 
+void LogRateLimit(const ServingReplica& replica) {
+  const std::optional<double>& limit = replica.limits->rate_limiter.limit();
+  LogEvent("replica_rate_limit")
+      .Field("replica", replica.registration.id)
+      .Field("service", replica.registration.service)
+      .Field("per_second", limit ? fmt::format("{}", *limit) : "none");
+}
+
 FailureKind ToFailureKind(ExchangeError error) {
   switch (error) {
     case ExchangeError::kNotConnected:
@@ -128,7 +136,9 @@
                             .Field("replica", replica.registration.id)
                             .Field("service", replica.registration.service)
                             .Field("address", replica.registration.address);
-                      }}),
+                      },
+                  .on_rate_limit_changed = LogRateLimit},
+                 incarnation),
       m_dispatcher({.policy = m_settings.policy,
                     .data_centre = m_settings.data_centre,
                     .seed = incarnation,
@@ -285,16 +295,6 @@
       m_connections.CloseIdle(replica);
     }
   };
-  hooks.on_rate_limit_changed = [](const ServingReplica& replica) {
-    LogEvent event("replica_rate_limit");
-    event.Field("replica", replica.registration.id)
-        .Field("service", replica.registration.service);
-    if (replica.rate_limit) {
-      event.Field("per_second", *replica.rate_limit);
-    } else {
-      event.Field("per_second", "none");
-    }
-  };
   return hooks;
 }
 
--- a/unittests/serving/admission_test.cc
+++ b/unittests/serving/admission_test.cc
@@ -17,6 +17,7 @@
   for (const double wait : waits) {
     estimates.push_back(
         {.min_wait = wait < 0 ? std::nullopt : std::optional(Millis(wait)),
+         .limit_delay = std::nullopt,
          .max_queue_wait = std::nullopt});
   }
   return estimates;
@@ -86,6 +87,19 @@
   EXPECT_EQ(overloaded.retry_after, Millis(100));
 }
 
+// Guards against a refusal that does not tell the caller when enough replicas
+// take requests again.
+TEST(AdmissionTest, RefusalForStatedLimitsTellsWhenTheyPermitRequests) {
+  std::vector<SubRequestEstimate> estimates =
+      MakeEstimates({kNoReplica, kNoReplica, kNoReplica, kNoReplica, 0});
+  estimates[1].limit_delay = Millis(300);
+  EXPECT_EQ(Admit(estimates, kThreeNeeded).refusal, AnswerReason::kNoReplica);
+  estimates[0].limit_delay = Millis(500);
+  estimates[3].limit_delay = Millis(900);
+  EXPECT_EQ(Admit(estimates, kThreeNeeded).refusal, AnswerReason::kRateLimited);
+  EXPECT_EQ(Admit(estimates, kThreeNeeded).retry_after, Millis(500));
+}
+
 RC_GTEST_PROP(AdmissionProperty, AdmittedRequestsCanBeAnswered, ()) {
   const auto waits = *rc::gen::container<std::vector<double>>(
       rc::gen::element(double{kNoReplica}, 0.0, 50.0, 184.0, 190.0, 250.0));
--- a/unittests/serving/components_test.cc
+++ b/unittests/serving/components_test.cc
@@ -193,7 +193,8 @@
                         [this](ServingReplica& replica, std::string_view) {
                           m_retired.push_back(replica.key);
                         },
-                    .on_added = [](ServingReplica&) {}}};
+                    .on_added = [](ServingReplica&) {},
+                    .on_rate_limit_changed = [](const ServingReplica&) {}}};
 };
 
 // Guards against sending requests to a replica that has announced that it is
--- a/unittests/serving/dispatcher_harness.h
+++ b/unittests/serving/dispatcher_harness.h
@@ -22,7 +22,8 @@
 
   explicit DispatcherHarness(ServingPolicy policy = {})
       : replicas({.on_retired = [](ServingReplica&, std::string_view) {},
-                  .on_added = [](ServingReplica&) {}}),
+                  .on_added = [](ServingReplica&) {},
+                  .on_rate_limit_changed = [](const ServingReplica&) {}}),
         dispatcher({.policy = policy, .data_centre = "a", .seed = 7},
                    replicas,
                    quarantine,
@@ -158,7 +159,6 @@
       probes.push_back(replica);
     };
     hooks.on_health_changed = [](ServingReplica&, std::string_view) {};
-    hooks.on_rate_limit_changed = [](const ServingReplica&) {};
     return hooks;
   }
 };
--- a/unittests/serving/dispatcher_test.cc
+++ b/unittests/serving/dispatcher_test.cc
@@ -308,7 +308,8 @@
 TEST(DispatcherTest, RefusedWithoutConfiguration) {
   Quarantine quarantine(true, 3);
   ReplicaSet replicas({.on_retired = [](ServingReplica&, std::string_view) {},
-                       .on_added = [](ServingReplica&) {}});
+                       .on_added = [](ServingReplica&) {},
+                       .on_rate_limit_changed = [](const ServingReplica&) {}});
   std::vector<FinalAnswer> answers;
   DispatcherHooks hooks;
   hooks.answer = [&](const FinalAnswer& answer) { answers.push_back(answer); };
--- a/unittests/serving/overload_test.cc
+++ b/unittests/serving/overload_test.cc
@@ -51,7 +51,8 @@
  public:
   explicit OverloadSimulation(ServingPolicy policy)
       : m_replicas({.on_retired = [](ServingReplica&, std::string_view) {},
-                    .on_added = [](ServingReplica&) {}}),
+                    .on_added = [](ServingReplica&) {},
+                    .on_rate_limit_changed = [](const ServingReplica&) {}}),
         m_dispatcher({.policy = policy, .data_centre = "a", .seed = 7},
                      m_replicas,
                      m_quarantine,
@@ -166,7 +167,6 @@
     hooks.on_finished = [](const RequestReport&) {};
     hooks.probe = [](const std::shared_ptr<ServingReplica>&) {};
     hooks.on_health_changed = [](ServingReplica&, std::string_view) {};
-    hooks.on_rate_limit_changed = [](const ServingReplica&) {};
     return hooks;
   }
 
--- a/utils/ledger.py
+++ b/utils/ledger.py
@@ -26,6 +26,7 @@
 CAUSE_OF_DECISION = {
     "skipped": "shard full",
     "no_room": "connections used up",
+    "rate_limited": "stated rate limits",
     "no_replica": "shard without replica",
     "no_allowance": "no retry budget",
     "rejected": "replica rejects",
@@ -39,6 +40,7 @@
 # Cause of a request that was refused or failed, by its reason.
 CAUSE_OF_REASON = {
     "overloaded": "shard full",
+    "rate_limited": "stated rate limits",
     "no_replica": "shard without replica",
     "no_allowance": "no retry budget",
     "shed": "replica rejects",
