Tell other VMs which rate limits replicas state

Seen by callers and operators: a VM that a replica has not told sends to it as before, and a VM that sends it few requests spares it although the limit has ended.

Cause: as with replicas that leave, what a VM knew of a replica stayed with it. Besides, a replica that is not preferred gets no request, so that nobody hears that its limit has ended.

Change: ReplicaGossip carries the statements of the last three seconds, also those that a limit has ended, with their age; an older one does not replace a newer one. A first attempt goes to a replica whose limit nobody has heard of for four seconds, if there is a permit. A hedge looks for a replica with a spare permit instead of being dropped when the best one has none.

--- a/include/tanagervane/fleet/replica_gossip.h
+++ b/include/tanagervane/fleet/replica_gossip.h
@@ -11,11 +11,14 @@
 
 #include "absl/status/statusor.h"
 #include "tanagervane/serving/leaving_replicas.h"
+#include "tanagervane/serving/request_limits.h"
 
 namespace tanagervane {
 
-/// Keeps a message below 1,200 bytes, so that it fits one Ethernet frame.
+/// Bounds that keep a message below 1,400 bytes, so that it fits one Ethernet
+/// frame.
 inline constexpr size_t kMaxGossipedLeavingReplicas = 100;
+inline constexpr size_t kMaxGossipedRateLimits = 28;
 
 /// Separate from GossipMessage, so that VMs of an earlier release, which drop
 /// this message, still exchange their membership with the others.
@@ -24,8 +27,11 @@
   std::string sender;
   /// Incarnations of which the sender learned recently that they leave.
   std::vector<IncarnationHash> leaving;
+  /// What replicas stated recently about their rate limits, to the sender or to
+  /// another VM.
+  std::vector<RateLimitReport> rate_limits;
 
-  bool empty() const { return leaving.empty(); }
+  bool empty() const { return leaving.empty() && rate_limits.empty(); }
 };
 
 /// Returns whether a datagram is a replica message, by its first byte.
--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -252,14 +252,13 @@
   /// request is not abandoned. Its reply would end the overdue state, so it is
   /// not cancelled before kMaxOverdueAttemptAge.
   static bool MayShowRecovery(const Attempt& attempt, uint64_t id);
-  /// Records what a replica states in the response to a request that was sent
-  /// at `sent_at`. Only an `intact` response, one that is neither a rejection
-  /// nor a failure, tells by its silence that a rate limit has ended.
   void RecordSelfReport(ServingReplica& replica,
                         const SelfReport& report,
-                        Millis sent_at,
-                        bool intact,
                         Millis now);
+  /// Ends the replica's rate limit because a success in response to a request
+  /// that was sent at `sent_at` states none. Failures, rejections and replies
+  /// to health probes may lack the statement although the limit holds.
+  void EndRateLimit(const ServingReplica& replica, Millis sent_at, Millis now);
   void RecordReply(Attempt& attempt, const ReplicaReply& reply, Millis now);
   void ApplyReply(Request& request,
                   SubRequest& sub_request,
--- a/include/tanagervane/serving/rate_limiter.h
+++ b/include/tanagervane/serving/rate_limiter.h
@@ -36,6 +36,10 @@
   /// before the first.
   Millis stated_at() const { return m_stated_at; }
 
+  /// Whether no VM has heard from the replica for so long that its limit may
+  /// have ended.
+  bool IsStale(Millis now) const;
+
   /// The permits that can be used now, at most `max_count`. Without a limit,
   /// `max_count`.
   size_t CountPermits(size_t max_count, Millis now) const;
--- a/include/tanagervane/serving/replica_chooser.h
+++ b/include/tanagervane/serving/replica_chooser.h
@@ -67,6 +67,8 @@
   Millis median_latency;
   /// Latency objective of the route.
   Millis objective;
+  /// Permits that a replica with a rate limit must have left for the attempt.
+  size_t min_permits = 1;
 };
 
 /// Estimates how long an attempt on each replica would take and chooses the
@@ -89,7 +91,9 @@
                                         Millis now) const;
 
   /// Returns the replica with the lowest estimate among those that are
-  /// available and not in `exclude`; nullptr when there is none.
+  /// available and not in `exclude`; nullptr when there is none. A first
+  /// attempt goes to a replica with a stale rate limit, because the response
+  /// tells whether the limit has ended.
   std::shared_ptr<ServingReplica> Choose(
       const Service& service,
       const AttemptProfile& profile,
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -103,8 +103,7 @@
   /// health probes.
   bool unresponsive = false;
   Millis next_probe_at;
-  /// Send time of the health probe in flight.
-  std::optional<Millis> probe_sent_at;
+  bool probe_in_flight = false;
   /// A connection was lost with an attempt in flight, and the replica has not
   /// answered since.
   bool connection_lost = false;
@@ -131,7 +130,9 @@
   /// Called when a replica was added.
   std::function<void(ServingReplica&)> on_added;
   /// Called when a replica's rate limit changed, begins or ends.
-  std::function<void(const ServingReplica&)> on_rate_limit_changed;
+  /// `source` says who told it.
+  std::function<void(const ServingReplica&, std::string_view source)>
+      on_rate_limit_changed;
 };
 
 /// Keeps the replicas of all services in step with their registrations.
@@ -184,6 +185,15 @@
                        std::optional<double> per_second,
                        Millis now);
 
+  /// Records what replicas stated to another VM about their rate limits.
+  void RecordRateLimits(std::span<const RateLimitReport> reports, Millis now);
+
+  /// Returns statements about rate limits that other VMs may not know, at most
+  /// `max_count`; see RequestLimitTable.
+  std::vector<RateLimitReport> RecentRateLimits(Millis now, size_t max_count) {
+    return m_limits.RecentRateLimits(now, max_count);
+  }
+
   /// Applies a complete list; replicas that are not listed count as removed.
   void ApplyList(std::span<const ReplicaRegistration> registrations,
                  Millis now);
--- a/include/tanagervane/serving/request_limits.h
+++ b/include/tanagervane/serving/request_limits.h
@@ -3,10 +3,12 @@
 #ifndef TANAGERVANE_SERVING_REQUEST_LIMITS_H_
 #define TANAGERVANE_SERVING_REQUEST_LIMITS_H_
 
-#include <cstdint>
+#include <cstddef>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
+#include <vector>
 
 #include "tanagervane/serving/leaving_replicas.h"
 #include "tanagervane/serving/rate_limiter.h"
@@ -26,6 +28,18 @@
   }
 };
 
+/// A statement about a rate limit, as VMs pass it on.
+struct RateLimitReport {
+  IncarnationHash incarnation = 0;
+  /// Requests per second from all VMs; nullopt when the replica stated no limit
+  /// after it had stated one.
+  std::optional<double> per_second;
+  /// Time since the statement.
+  Millis age;
+
+  bool operator==(const RateLimitReport&) const = default;
+};
+
 /// Keeps the limits of each incarnation beyond the removal of its registration,
 /// because a late heartbeat may restore the registration.
 class RequestLimitTable {
@@ -42,11 +56,17 @@
 
   /// Records what the incarnation stated about its rate limit at `stated_at`;
   /// see RateLimiter::Record(). Returns whether the limit in force changed.
+  /// Statements about unknown incarnations are ignored while too many are
+  /// known.
   bool RecordRateLimit(IncarnationHash incarnation,
                        std::optional<double> per_second,
                        Millis stated_at,
                        Millis now);
 
+  /// Returns statements that are so recent that other VMs may not know them, at
+  /// most `max_count`. Successive calls return different ones in turn.
+  std::vector<RateLimitReport> RecentRateLimits(Millis now, size_t max_count);
+
   /// Forgets the limits of replicas that were removed long ago.
   void Expire(Millis now);
 
@@ -60,6 +80,10 @@
   double m_share = 1;
   std::unordered_map<IncarnationHash, Entry> m_entries;
   Millis m_next_expiry;
+  /// Incarnations with a recent statement about their rate limit.
+  std::set<IncarnationHash> m_recent;
+  /// Where the next call of RecentRateLimits() begins.
+  IncarnationHash m_next_recent = 0;
 };
 
 }  // namespace tanagervane
--- a/lib/fleet/replica_gossip.cc
+++ b/lib/fleet/replica_gossip.cc
@@ -1,5 +1,9 @@
 #include "tanagervane/fleet/replica_gossip.h"
 
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
 #include "gossip_bytes.h"
 #include "tanagervane/support/error.h"
 
@@ -21,6 +25,34 @@
   return reader.ReadFixed(kIncarnationHashBytes);
 }
 
+/// Stands for a statement that there is no limit.
+constexpr double kNoLimit = -1;
+
+void AppendRateLimit(std::string& bytes, const RateLimitReport& report) {
+  AppendIncarnation(bytes, report.incarnation);
+  AppendFixed(bytes,
+              std::bit_cast<uint64_t>(report.per_second.value_or(kNoLimit)),
+              sizeof(double));
+  AppendVarint(bytes, static_cast<uint64_t>(std::ceil(report.age.count())));
+}
+
+RateLimitReport ReadRateLimit(GossipReader& reader) {
+  RateLimitReport report;
+  report.incarnation = ReadIncarnation(reader);
+  const auto per_second =
+      std::bit_cast<double>(reader.ReadFixed(sizeof(double)));
+  if (per_second != kNoLimit) {
+    report.per_second = per_second;
+  }
+  report.age = Millis(static_cast<double>(reader.ReadVarint()));
+  return report;
+}
+
+bool IsValid(const RateLimitReport& report) {
+  return !report.per_second ||
+         (std::isfinite(*report.per_second) && *report.per_second >= 0);
+}
+
 }  // namespace
 
 bool IsReplicaGossip(std::string_view bytes) {
@@ -31,6 +63,7 @@
   std::string bytes(1, kReplicaGossipTag);
   AppendString(bytes, message.sender);
   AppendItems(bytes, message.leaving, AppendIncarnation);
+  AppendItems(bytes, message.rate_limits, AppendRateLimit);
   return bytes;
 }
 
@@ -41,7 +74,9 @@
   ReplicaGossip message;
   message.sender = reader.ReadString();
   message.leaving = ReadItems(reader, ReadIncarnation);
-  if (!is_tagged || !reader.ok() || !reader.at_end()) {
+  message.rate_limits = ReadItems(reader, ReadRateLimit);
+  if (!is_tagged || !reader.ok() || !reader.at_end() ||
+      !std::ranges::all_of(message.rate_limits, IsValid)) {
     return MakeError(ErrorCode::kInvalidRequest,
                      "malformed gossip message about replicas", message.sender);
   }
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -193,9 +193,10 @@
       now + median > request.deadline) {
     return;
   }
-  const auto replica =
-      m_chooser.Choose(*sub_request.service, MakeProfile(route),
-                       sub_request.attempted_replicas, now);
+  AttemptProfile profile = MakeProfile(route);
+  profile.min_permits = kMinPermitsToHedge;
+  const auto replica = m_chooser.Choose(*sub_request.service, profile,
+                                        sub_request.attempted_replicas, now);
   if (!replica || !MayHedgeOn(*replica, route, now) ||
       !sub_request.service->retry_budget.TrySpend(ExtraAttemptKind::kHedge,
                                                   now)) {
@@ -221,10 +222,6 @@
 bool Dispatcher::MayHedgeOn(const ServingReplica& replica,
                             const PlannedRoute& route,
                             Millis now) const {
-  if (replica.limits->rate_limiter.CountPermits(kMinPermitsToHedge, now) <
-      kMinPermitsToHedge) {
-    return false;
-  }
   const AttemptProfile profile = MakeProfile(route);
   return !m_options.policy.hedge_short_queues ||
          IsQueueShortEnoughToHedge(
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -78,17 +78,11 @@
 
 void Dispatcher::RecordSelfReport(ServingReplica& replica,
                                   const SelfReport& report,
-                                  Millis sent_at,
-                                  bool intact,
                                   Millis now) {
   if (report.load) {
     ReplicaChooser::RecordLoad(replica, *report.load, now);
   }
-  const RateLimiter& limiter = replica.limits->rate_limiter;
-  // A response that crossed the latest statement on its way does not end it.
-  const bool ended =
-      limiter.limit() && intact && sent_at >= limiter.stated_at();
-  if (report.rate_limit || ended) {
+  if (report.rate_limit) {
     m_replicas.RecordRateLimit(replica, report.rate_limit, now);
   }
   if (report.leaving) {
@@ -96,6 +90,16 @@
   }
 }
 
+void Dispatcher::EndRateLimit(const ServingReplica& replica,
+                              Millis sent_at,
+                              Millis now) {
+  const RateLimiter& limiter = replica.limits->rate_limiter;
+  // A response that crossed the latest statement on its way does not end it.
+  if (limiter.limit() && sent_at >= limiter.stated_at()) {
+    m_replicas.RecordRateLimit(replica, std::nullopt, now);
+  }
+}
+
 void Dispatcher::RecordReply(Attempt& attempt,
                              const ReplicaReply& reply,
                              Millis now) {
@@ -109,7 +113,10 @@
     return;
   }
   const bool success = reply.kind == ReplyKind::kSuccess;
-  RecordSelfReport(replica, reply.self_report, attempt.sent_at, success, now);
+  RecordSelfReport(replica, reply.self_report, now);
+  if (success && !reply.self_report.rate_limit) {
+    EndRateLimit(replica, attempt.sent_at, now);
+  }
   MarkResponsive(replica, now);
   ReplicaChooser::RecordOutcome(replica, !success, now);
   if (success) {
@@ -316,10 +323,9 @@
 void Dispatcher::OnProbeReply(ServingReplica& replica,
                               const ProbeReply& reply,
                               Millis now) {
-  const Millis sent_at = replica.probe_sent_at.value_or(now);
-  replica.probe_sent_at.reset();
+  replica.probe_in_flight = false;
   replica.next_probe_at = now + kProbeInterval;
-  RecordSelfReport(replica, reply.self_report, sent_at, reply.healthy, now);
+  RecordSelfReport(replica, reply.self_report, now);
   if (reply.healthy) {
     replica.last_answer_at = now;
     replica.unanswered_since.reset();
@@ -335,11 +341,11 @@
         MarkUnresponsive(*replica, "silent", now);
       }
       if (!replica->unresponsive || replica->leaving ||
-          replica->probe_sent_at || now < replica->next_probe_at ||
+          replica->probe_in_flight || now < replica->next_probe_at ||
           replica->limits->NextRequestAt(now) > now) {
         continue;
       }
-      replica->probe_sent_at = now;
+      replica->probe_in_flight = true;
       replica->limits->rate_limiter.UsePermit(now);
       ++m_stats.probes;
       m_hooks.probe(replica);
--- a/lib/serving/rate_limiter.cc
+++ b/lib/serving/rate_limiter.cc
@@ -17,6 +17,10 @@
 /// responses tell when a limit near zero has ended.
 constexpr double kMinRequestsPerSecond = 0.25;
 
+/// VMs pass on statements within a second, so no VM has asked the replica for
+/// some seconds when the latest statement is this old.
+constexpr Millis kStaleAge{4000};
+
 }  // namespace
 
 bool RateLimiter::Record(std::optional<double> per_second,
@@ -38,6 +42,10 @@
   return true;
 }
 
+bool RateLimiter::IsStale(Millis now) const {
+  return m_limit && now - m_stated_at >= kStaleAge;
+}
+
 size_t RateLimiter::CountPermits(size_t max_count, Millis now) const {
   if (!m_limit) {
     return max_count;
--- a/lib/serving/replica_chooser.cc
+++ b/lib/serving/replica_chooser.cc
@@ -175,10 +175,15 @@
   std::shared_ptr<ServingReplica> best;
   double best_cost = 0;
   for (const auto& replica : service.replicas) {
+    const RateLimiter& limiter = replica->limits->rate_limiter;
     if (Classify(*replica, now) != ReplicaAvailability::kAvailable ||
+        limiter.CountPermits(profile.min_permits, now) < profile.min_permits ||
         std::ranges::find(exclude, replica.get()) != exclude.end()) {
       continue;
     }
+    if (exclude.empty() && limiter.IsStale(now) && !replica->overdue) {
+      return replica;
+    }
     const double jitter = 1 + kJitter * m_random.NextDouble();
     const double cost = Estimate(*replica, profile, now).total.count() * jitter;
     if (!best || cost < best_cost) {
--- a/lib/serving/replica_set.cc
+++ b/lib/serving/replica_set.cc
@@ -153,7 +153,19 @@
                                  std::optional<double> per_second,
                                  Millis now) {
   if (m_limits.RecordRateLimit(replica.incarnation, per_second, now, now)) {
-    m_hooks.on_rate_limit_changed(replica);
+    m_hooks.on_rate_limit_changed(replica, "response");
+  }
+}
+
+void ReplicaSet::RecordRateLimits(std::span<const RateLimitReport> reports,
+                                  Millis now) {
+  for (const auto& [incarnation, per_second, age] : reports) {
+    const bool changed =
+        m_limits.RecordRateLimit(incarnation, per_second, now - age, now);
+    const auto known = m_by_incarnation.find(incarnation);
+    if (changed && known != m_by_incarnation.end()) {
+      m_hooks.on_rate_limit_changed(*known->second, "peer");
+    }
   }
 }
 
--- a/lib/serving/request_limits.cc
+++ b/lib/serving/request_limits.cc
@@ -1,5 +1,7 @@
 #include "tanagervane/serving/request_limits.h"
 
+#include <algorithm>
+
 namespace tanagervane {
 
 namespace {
@@ -9,6 +11,13 @@
 
 constexpr Millis kExpiryInterval{10'000};
 
+/// How long a VM passes on a statement. Each VM that hears it does the same, so
+/// this is enough to reach a fleet of thousands of VMs.
+constexpr Millis kRecentDuration{3000};
+
+/// Bounds the memory. Several times the replicas of the largest fleet.
+constexpr size_t kMaxEntries = 100'000;
+
 }  // namespace
 
 void RequestLimitTable::SetShare(double share) {
@@ -34,10 +43,35 @@
                                         std::optional<double> per_second,
                                         Millis stated_at,
                                         Millis now) {
+  if (m_entries.size() >= kMaxEntries && !m_entries.contains(incarnation)) {
+    return false;
+  }
+  m_recent.insert(incarnation);
   return Get(incarnation, now)
       ->rate_limiter.Record(per_second, stated_at, m_random.NextDouble(), now);
 }
 
+std::vector<RateLimitReport> RequestLimitTable::RecentRateLimits(
+    Millis now,
+    size_t max_count) {
+  std::erase_if(m_recent, [&](IncarnationHash incarnation) {
+    const auto it = m_entries.find(incarnation);
+    return it == m_entries.end() ||
+           now - it->second.limits->rate_limiter.stated_at() >= kRecentDuration;
+  });
+  std::vector<RateLimitReport> reports;
+  auto it = m_recent.lower_bound(m_next_recent);
+  const size_t count = std::min(max_count, m_recent.size());
+  while (reports.size() < count) {
+    it = it == m_recent.end() ? m_recent.begin() : it;
+    const RateLimiter& limiter = m_entries.at(*it).limits->rate_limiter;
+    reports.push_back({*it, limiter.limit(), now - limiter.stated_at()});
+    ++it;
+  }
+  m_next_recent = it == m_recent.end() ? 0 : *it;
+  return reports;
+}
+
 void RequestLimitTable::Expire(Millis now) {
   if (now < m_next_expiry) {
     return;
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -94,12 +94,13 @@
   return response;
 }
 
-void LogRateLimit(const ServingReplica& replica) {
+void LogRateLimit(const ServingReplica& replica, std::string_view source) {
   const std::optional<double>& limit = replica.limits->rate_limiter.limit();
   LogEvent("replica_rate_limit")
       .Field("replica", replica.registration.id)
       .Field("service", replica.registration.service)
-      .Field("per_second", limit ? fmt::format("{}", *limit) : "none");
+      .Field("per_second", limit ? fmt::format("{}", *limit) : "none")
+      .Field("source", source);
 }
 
 FailureKind ToFailureKind(ExchangeError error) {
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -74,11 +74,15 @@
             ReplicaGossip message;
             message.leaving =
                 m_replicas.RecentlyLeaving(now, kMaxGossipedLeavingReplicas);
+            message.rate_limits =
+                m_replicas.RecentRateLimits(now, kMaxGossipedRateLimits);
             return message;
           },
       .on_replica_gossip =
           [this](const ReplicaGossip& message) {
-            m_replicas.MarkLeaving(message.leaving, Poller::Now());
+            const Millis now = Poller::Now();
+            m_replicas.MarkLeaving(message.leaving, now);
+            m_replicas.RecordRateLimits(message.rate_limits, now);
           }};
 }
 
