Send nothing to replicas for the time that their rejections state

Seen by callers and operators: a replica that turns a request away and states for how long it wants no others goes on getting them while the other replicas of its service reject too.

What a replica says of itself had been read field by field as the need arose; Retry-After in its rejections was not. A rejecting replica was only made less attractive for some seconds.

Change: the adapter decodes Retry-After of 503 responses. RequestLimits holds the time, beyond the removal of the registration; Classify() and the health probes obey it. It holds for this VM only and is not passed on. Logged as replica_backoff.

--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -133,6 +133,8 @@
   /// `source` says who told it.
   std::function<void(const ServingReplica&, std::string_view source)>
       on_rate_limit_changed;
+  /// Called when a replica takes no requests for some time.
+  std::function<void(const ServingReplica&, Millis duration)> on_backoff;
 };
 
 /// Keeps the replicas of all services in step with their registrations.
@@ -185,6 +187,11 @@
                        std::optional<double> per_second,
                        Millis now);
 
+  /// Sends the replica nothing for some time, as it has stated to this VM.
+  void RecordBackoff(const ServingReplica& replica,
+                     Millis duration,
+                     Millis now);
+
   /// Records what replicas stated to another VM about their rate limits.
   void RecordRateLimits(std::span<const RateLimitReport> reports, Millis now);
 
--- a/include/tanagervane/serving/request_limits.h
+++ b/include/tanagervane/serving/request_limits.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERVANE_SERVING_REQUEST_LIMITS_H_
 #define TANAGERVANE_SERVING_REQUEST_LIMITS_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -20,11 +21,14 @@
 /// Limits of one incarnation of a replica.
 struct RequestLimits {
   RateLimiter rate_limiter;
+  /// Until this time the replica wants no requests from this VM, because it
+  /// rejected one and stated so.
+  Millis backoff_until;
 
   /// The earliest time at which the replica takes a request from this VM; `now`
   /// if it takes one now.
   Millis NextRequestAt(Millis now) const {
-    return rate_limiter.NextPermitAt(now);
+    return std::max(rate_limiter.NextPermitAt(now), backoff_until);
   }
 };
 
--- a/include/tanagervane/serving/self_report.h
+++ b/include/tanagervane/serving/self_report.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <optional>
 
+#include "tanagervane/support/millis.h"
+
 namespace tanagervane {
 
 /// Load that a replica reports with each response.
@@ -23,6 +25,9 @@
   /// Requests per second that the replica takes from all VMs together; nullopt
   /// when it states no limit.
   std::optional<double> rate_limit;
+  /// Time for which the replica, which rejected the request, wants no others
+  /// from this VM.
+  std::optional<Millis> backoff;
 };
 
 /// A replica's response to a health probe.
--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -270,6 +270,8 @@
         # The limit that its responses state: requests per second from all
         # nodes together. It does not enforce it.
         self.rate_limit = None
+        # Seconds for which its rejections ask a node to send nothing.
+        self.retry_after_s = None
         # The address in its registration when that is not its own, such as
         # the one of a link with faults.
         self.public_address = None
@@ -307,6 +309,11 @@
             fields.append(("Server-Limit", str(self.rate_limit)))
         return fields
 
+    def retry_after(self):
+        if self.retry_after_s is None:
+            return []
+        return [("Retry-After", str(self.retry_after_s))]
+
     def headers(self, request):
         return [("Request-Id", request.headers.get("request-id", "")),
                 *self.statements()]
@@ -322,7 +329,7 @@
         if self.mode == "shed":
             self.rejected += 1
             return response(503, b"", self.headers(request) +
-                            [("Not-Executed", "1")])
+                            [("Not-Executed", "1")] + self.retry_after())
         self.ran.append(request.headers.get("request-id"))
         if self.mode in ENDLESS:
             return ENDLESS[self.mode]
--- a/integration/test_rate_limits.py
+++ b/integration/test_rate_limits.py
@@ -17,6 +17,9 @@
 EXCESS_REQUESTS = 5
 # A node that was told the limit obeys it after this time.
 REACTION_S = 0.5
+# A replica that rejects a request may ask for a back-off of this
+# length.
+BACKOFF_S = 3.0
 # Requests that are sent at the same time, so that all replicas get some.
 CONCURRENT_REQUESTS = 8
 
@@ -118,5 +121,24 @@
         self.assertGreater(len(limited.arrival_times) - known, 20)
 
 
+    def test_replicas_that_ask_for_a_backoff(self):
+        """Guards against requests to replicas that have rejected one and asked
+        for a back-off, and against replicas that are not used after it."""
+        for replica in self.replicas:
+            replica.mode = "shed"
+            replica.retry_after_s = BACKOFF_S
+        for node in self.nodes:
+            self.send(0.3, [node, node])
+        since = time.monotonic() + REACTION_S
+        replies = self.send(BACKOFF_S - 1)
+        self.assertEqual({reply.status for reply in replies}, {503})
+        for replica in self.replicas:
+            arrivals = [t for t in replica.arrival_times if t >= since]
+            self.assertLessEqual(len(arrivals), 2 * len(self.nodes))
+            replica.mode = "good"
+        time.sleep(1.5)
+        self.assertEqual({reply.status for reply in self.send(1)}, {200})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -85,6 +85,9 @@
   if (report.rate_limit) {
     m_replicas.RecordRateLimit(replica, report.rate_limit, now);
   }
+  if (report.backoff) {
+    m_replicas.RecordBackoff(replica, *report.backoff, now);
+  }
   if (report.leaving) {
     m_replicas.MarkLeaving(replica, "stated_leaving", now);
   }
--- a/lib/serving/replica_set.cc
+++ b/lib/serving/replica_set.cc
@@ -157,6 +157,17 @@
   }
 }
 
+void ReplicaSet::RecordBackoff(const ServingReplica& replica,
+                               Millis duration,
+                               Millis now) {
+  Millis& backoff_until = replica.limits->backoff_until;
+  const bool is_new = backoff_until <= now;
+  backoff_until = std::max(backoff_until, now + duration);
+  if (is_new) {
+    m_hooks.on_backoff(replica, duration);
+  }
+}
+
 void ReplicaSet::RecordRateLimits(std::span<const RateLimitReport> reports,
                                   Millis now) {
   for (const auto& [incarnation, per_second, age] : reports) {
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -103,6 +103,13 @@
       .Field("source", source);
 }
 
+void LogBackoff(const ServingReplica& replica, Millis duration) {
+  LogEvent("replica_backoff")
+      .Field("replica", replica.registration.id)
+      .Field("service", replica.registration.service)
+      .Field("for_ms", duration.count());
+}
+
 FailureKind ToFailureKind(ExchangeError error) {
   switch (error) {
     case ExchangeError::kNotConnected:
@@ -138,7 +145,8 @@
                             .Field("service", replica.registration.service)
                             .Field("address", replica.registration.address);
                       },
-                  .on_rate_limit_changed = LogRateLimit},
+                  .on_rate_limit_changed = LogRateLimit,
+                  .on_backoff = LogBackoff},
                  incarnation),
       m_dispatcher({.policy = m_settings.policy,
                     .data_centre = m_settings.data_centre,
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -292,6 +292,22 @@
   }
 }
 
+// Guards against a back-off that is taken from a response that rejects nothing,
+// and against a malformed one.
+TEST_F(ReplyTest, BackoffIsDecodedFromRejections) {
+  HttpResponseMessage response;
+  response.fields.Add("Retry-After", "1.5");
+  for (const unsigned status : {200U, 429U, 500U}) {
+    response.status = status;
+    EXPECT_FALSE(DecodeReply(response).self_report.backoff);
+  }
+  response.status = 503;
+  EXPECT_EQ(DecodeReply(response).self_report.backoff, Millis(1500));
+  response.fields = {};
+  response.fields.Add("Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT");
+  EXPECT_FALSE(DecodeReply(response).self_report.backoff);
+}
+
 // Guards against the loss of a replica that explicitly states that it stays.
 TEST_F(ReplyTest, ZeroDoesNotMeanLeaving) {
   m_response.fields.Add("Server-Leaving", "0");
--- a/unittests/serving/dispatcher_test.cc
+++ b/unittests/serving/dispatcher_test.cc
@@ -307,10 +307,11 @@
 // Guards against answering "unknown route" before a configuration is known.
 TEST(DispatcherTest, RefusedWithoutConfiguration) {
   Quarantine quarantine(true, 3);
-  ReplicaSet replicas({.on_retired = [](ServingReplica&, std::string_view) {},
-                       .on_added = [](ServingReplica&) {},
-                       .on_rate_limit_changed = [](const ServingReplica&,
-                                                   std::string_view) {}});
+  ReplicaSet replicas(
+      {.on_retired = [](ServingReplica&, std::string_view) {},
+       .on_added = [](ServingReplica&) {},
+       .on_rate_limit_changed = [](const ServingReplica&, std::string_view) {},
+       .on_backoff = [](const ServingReplica&, Millis) {}});
   std::vector<FinalAnswer> answers;
   DispatcherHooks hooks;
   hooks.answer = [&](const FinalAnswer& answer) { answers.push_back(answer); };
--- a/unittests/serving/replica_set_test.cc
+++ b/unittests/serving/replica_set_test.cc
@@ -37,7 +37,8 @@
                     .on_rate_limit_changed =
                         [this](const ServingReplica&, std::string_view source) {
                           m_limit_sources.emplace_back(source);
-                        }}};
+                        },
+                    .on_backoff = [](const ServingReplica&, Millis) {}}};
 };
 
 // Guards against sending requests to a replica that has announced that it is
@@ -129,6 +130,20 @@
   EXPECT_FALSE(m_set.Find("r")->limits->rate_limiter.limit());
 }
 
+// Guards against requests to a replica that wants none, when its registration
+// was removed and then restored, and against a shorter back-off that
+// replaces a longer one.
+TEST_F(ReplicaSetTest, BackoffIsRememberedAfterTheRemoval) {
+  m_set.Apply(MakeRegistration("r"), Millis(0));
+  m_set.RecordBackoff(*m_set.Find("r"), Millis(9000), Millis(100));
+  m_set.RecordBackoff(*m_set.Find("r"), Millis(1000), Millis(200));
+  m_set.Remove("r", Millis(1000));
+  m_set.RetireLapsed(Millis(5000));
+  ASSERT_EQ(ReplicasInUse(), 0u);
+  m_set.Apply(MakeRegistration("r"), Millis(6000));
+  EXPECT_EQ(m_set.Find("r")->limits->NextRequestAt(Millis(6000)), Millis(9100));
+}
+
 // Guards against statements that are passed on for ever, and against many of
 // which only some are passed on.
 TEST(RequestLimitTableTest, RecentStatementsArePassedOnInTurn) {
--- a/unittests/serving/self_report_test.cc
+++ b/unittests/serving/self_report_test.cc
@@ -195,6 +195,32 @@
   EXPECT_LE(m_harness.probes.size(), 5u);
 }
 
+// Guards against requests and health probes to a replica that has rejected a
+// request and wants no others for some time, and against one that is not used
+// after that time.
+TEST_F(SelfReportTest, BackoffIsKept) {
+  SelfReport report;
+  report.backoff = Millis(3000);
+  const auto& replicas = m_harness.replicas.GetService("desk").replicas;
+  for (size_t i = 0; i < replicas.size(); ++i) {
+    Answer(SendOne(), ReplyKind::kRejected, report);
+  }
+  m_harness.answers.clear();
+  replicas.front()->unresponsive = true;
+  for (int i = 0; i < 29; ++i) {
+    m_harness.Advance(Millis(100));
+    m_harness.Submit("/one/x");
+    m_harness.dispatcher.CheckReplicaHealth(m_harness.now);
+  }
+  EXPECT_TRUE(m_harness.PopSentAttempts().empty());
+  EXPECT_TRUE(m_harness.probes.empty());
+  ASSERT_EQ(m_harness.answers.size(), 29u);
+  EXPECT_EQ(m_harness.answers.front().reason, AnswerReason::kRateLimited);
+  EXPECT_EQ(m_harness.answers.front().retry_after, Millis(2900));
+  m_harness.Advance(Millis(100));
+  SendOne();
+}
+
 // Guards against hedges that use the permits of first attempts.
 TEST_F(SelfReportTest, HedgeLeavesAPermitForAFirstAttempt) {
   for (const double per_second : {1.0, 1000.0}) {
