Leave scarce permits to requests that cannot do without them

Seen by callers: when all replicas of two shards state a limit, requests that use permits of both are followed by requests that find none and are refused, although each could do without one shard.

Cause: a request took every permit there was.

Change: a shard whose replicas all have a limit tells its stock of permits. If more shards have a low stock than the answer can do without, Admit() leaves out the scarcest. The switch is spare_permits. Requests of the simulation may arrive at random times, because equal intervals alternate between the shards by themselves.

--- a/include/tanagervane/serving/admission.h
+++ b/include/tanagervane/serving/admission.h
@@ -22,6 +22,9 @@
   /// Time until a replica of the shard takes a request that takes none now
   /// because of a limit it has stated; nullopt when there is no such replica.
   std::optional<Millis> limit_delay;
+  /// If all usable replicas of the shard have a rate limit: the permits that
+  /// there are, as a fraction of those that can accrue.
+  std::optional<double> permit_fraction;
   /// Longest wait at which the shard's queue is still short enough for all
   /// routes that use it; nullopt for no limit.
   std::optional<Millis> max_queue_wait;
@@ -36,6 +39,8 @@
   /// Time until the answer must be sent to meet the latency objective; zero or
   /// less when the objective can no longer be met.
   Millis time_to_answer;
+  /// Whether sub-requests are spared; see Admission.
+  bool spare_permits = true;
 };
 
 struct Admission {
@@ -48,6 +53,9 @@
   /// queue may become. At most as many sub-requests are skipped as the answer
   /// can do without; those with the longest wait first.
   std::vector<size_t> skipped;
+  /// Indices of further sub-requests that are not sent, so that their permits
+  /// remain for requests that cannot do without them.
+  std::vector<size_t> spared;
 };
 
 /// Decides whether to admit a request when some of its shards are overloaded.
@@ -55,7 +63,9 @@
 /// that shard is skipped, which keeps its queue short enough for other answers
 /// to meet their objective, also those of routes with a tighter objective that
 /// use the same shard. When too many shards are overloaded, the request is
-/// refused at once.
+/// refused at once. Likewise, a request does not use the scarcest permits when
+/// more shards lack permits than an answer can do without: otherwise every
+/// other request would find too few.
 Admission Admit(std::span<const SubRequestEstimate> sub_requests,
                 const AdmissionLimits& limits);
 
--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -199,6 +199,11 @@
   /// the route's traffic split, and credits the retry budgets.
   static void AddSubRequests(Request& request, Millis now);
   Admission Admit(const Request& request, Millis now) const;
+  /// Leaves out a sub-request that could be sent.
+  void Skip(Request& request,
+            size_t index,
+            TraceEvent::Type type,
+            AnswerReason reason) const;
   void Refuse(RequestKey key,
               const CallerRequest& caller_request,
               AnswerKind kind,
@@ -222,7 +227,9 @@
             const std::shared_ptr<ServingReplica>& replica,
             TraceEvent::Type type,
             Millis now);
-  void FailSubRequest(Request& request, size_t index, AnswerReason reason);
+  static void FailSubRequest(Request& request,
+                             size_t index,
+                             AnswerReason reason);
   bool FinishIfDue(Request& request, Millis now);
   void Schedule(Request& request, Millis now);
 
--- a/include/tanagervane/serving/rate_limiter.h
+++ b/include/tanagervane/serving/rate_limiter.h
@@ -44,6 +44,10 @@
   /// `max_count`.
   size_t CountPermits(size_t max_count, Millis now) const;
 
+  /// The permits that can accrue before the first of them expires. Only with a
+  /// limit.
+  double MaxPermits() const;
+
   /// The earliest time at which there is a permit; `now` if there is one.
   Millis NextPermitAt(Millis now) const;
 
--- a/include/tanagervane/serving/replica_chooser.h
+++ b/include/tanagervane/serving/replica_chooser.h
@@ -33,6 +33,9 @@
   bool short_queues = true;
   /// Sends skipped sub-requests after all when others of the request fail.
   bool reopen_skipped = true;
+  /// Skips shards with scarce permits that the answer can do without; see
+  /// Admit().
+  bool spare_permits = true;
   /// Sends hedges only to replicas with a short queue; see
   /// IsQueueShortEnoughToHedge().
   bool hedge_short_queues = true;
--- a/lib/serving/admission.cc
+++ b/lib/serving/admission.cc
@@ -17,6 +17,9 @@
 /// of the time to the answer.
 constexpr double kMaxReopenWaitFraction = 0.6;
 
+/// Permits are scarce at this fraction of those that can accrue, or below.
+constexpr double kScarcePermitFraction = 0.5;
+
 Admission Refuse(AnswerReason reason, Millis retry_after) {
   Admission admission;
   admission.refusal = reason;
@@ -70,6 +73,35 @@
   return late;
 }
 
+bool HasScarcePermits(const SubRequestEstimate& sub_request) {
+  return sub_request.min_wait && sub_request.permit_fraction &&
+         *sub_request.permit_fraction <= kScarcePermitFraction;
+}
+
+/// Returns the indices of at most `max_count` sub-requests with the scarcest
+/// permits. Empty if the request can do without all sub-requests with scarce
+/// permits, because then no request is refused for lack of them.
+std::vector<size_t> SubRequestsToSpare(
+    std::span<const SubRequestEstimate> sub_requests,
+    std::span<const size_t> skipped,
+    size_t max_count) {
+  std::vector<size_t> scarce;
+  for (size_t i = 0; i < sub_requests.size(); ++i) {
+    if (HasScarcePermits(sub_requests[i]) &&
+        std::ranges::find(skipped, i) == skipped.end()) {
+      scarce.push_back(i);
+    }
+  }
+  if (scarce.size() <= max_count) {
+    return {};
+  }
+  std::ranges::sort(scarce, std::less<>(), [&](size_t index) {
+    return *sub_requests[index].permit_fraction;
+  });
+  scarce.resize(max_count);
+  return scarce;
+}
+
 }  // namespace
 
 Admission Admit(std::span<const SubRequestEstimate> sub_requests,
@@ -96,6 +128,10 @@
     admission.skipped = LateSubRequests(sub_requests, limits.time_to_answer);
     const size_t spare = waits.size() - limits.needed_sub_requests;
     admission.skipped.resize(std::min(admission.skipped.size(), spare));
+    if (limits.spare_permits) {
+      admission.spared = SubRequestsToSpare(sub_requests, admission.skipped,
+                                            spare - admission.skipped.size());
+    }
   }
   return admission;
 }
--- a/lib/serving/dispatcher_admission.cc
+++ b/lib/serving/dispatcher_admission.cc
@@ -86,11 +86,12 @@
     return;
   }
   for (const size_t index : admission.skipped) {
-    request->trace.push_back({TraceEvent::Type::kSkipped,
-                              static_cast<uint16_t>(index), Millis(0),
-                              nullptr});
-    FailSubRequest(*request, index, AnswerReason::kOverloaded);
-    request->sub_requests[index].skipped = m_options.policy.reopen_skipped;
+    Skip(*request, index, TraceEvent::Type::kSkipped,
+         AnswerReason::kOverloaded);
+  }
+  for (const size_t index : admission.spared) {
+    Skip(*request, index, TraceEvent::Type::kRateLimited,
+         AnswerReason::kRateLimited);
   }
   request->caller_request = std::move(caller_request);
   Request& running = *request;
@@ -135,6 +136,16 @@
   }
 }
 
+void Dispatcher::Skip(Request& request,
+                      size_t index,
+                      TraceEvent::Type type,
+                      AnswerReason reason) const {
+  request.trace.push_back(
+      {type, static_cast<uint16_t>(index), Millis(0), nullptr});
+  FailSubRequest(request, index, reason);
+  request.sub_requests[index].skipped = m_options.policy.reopen_skipped;
+}
+
 Admission Dispatcher::Admit(const Request& request, Millis now) const {
   const RouteSpec& spec = request.route->spec;
   const AttemptProfile profile = MakeProfile(*request.route);
@@ -153,6 +164,7 @@
                                                : spec.timeout;
   limits.time_to_answer =
       m_options.policy.skipping ? request.answer_by - now : Millis(0);
+  limits.spare_permits = m_options.policy.spare_permits;
   return tanagervane::Admit(estimates, limits);
 }
 
--- a/lib/serving/rate_limiter.cc
+++ b/lib/serving/rate_limiter.cc
@@ -59,6 +59,11 @@
   return std::min(count, max_count);
 }
 
+double RateLimiter::MaxPermits() const {
+  assert(m_limit && "permits are unbounded without a limit");
+  return kPermitLifetime / Interval();
+}
+
 Millis RateLimiter::NextPermitAt(Millis now) const {
   return m_limit ? std::max(OldestPermitAt(now), now) : now;
 }
--- a/lib/serving/replica_chooser.cc
+++ b/lib/serving/replica_chooser.cc
@@ -58,6 +58,36 @@
 /// not all choose the same replica.
 constexpr double kJitter = 0.08;
 
+/// The permits of all replicas of a shard.
+class PermitStock {
+ public:
+  void Add(const RateLimiter& limiter, Millis now) {
+    if (!limiter.limit()) {
+      m_is_bounded = false;
+      return;
+    }
+    m_count += limiter.CountPermits(kMaxCountedPermits, now);
+    m_max_count += limiter.MaxPermits();
+  }
+
+  /// Nullopt if a replica has no limit.
+  std::optional<double> Fraction() const {
+    if (!m_is_bounded) {
+      return std::nullopt;
+    }
+    return static_cast<double>(m_count) / std::max(m_max_count, kMinStock);
+  }
+
+ private:
+  static constexpr size_t kMaxCountedPermits = 1000;
+  /// With fewer permits than this in stock, the next request finds none.
+  static constexpr double kMinStock = 2;
+
+  bool m_is_bounded = true;
+  size_t m_count = 0;
+  double m_max_count = 0;
+};
+
 double Decay(Millis age, Millis time_constant) {
   return std::exp(-std::max(0.0, age / time_constant));
 }
@@ -149,11 +179,13 @@
   if (m_policy.short_queues && service.tightest_objective) {
     estimate.max_queue_wait = *service.tightest_objective * kMaxQueueFraction;
   }
+  PermitStock permits;
   for (const auto& replica : service.replicas) {
     const ReplicaAvailability availability = Classify(*replica, now);
     if (availability == ReplicaAvailability::kUnusable) {
       continue;
     }
+    permits.Add(replica->limits->rate_limiter, now);
     if (availability == ReplicaAvailability::kRateLimited) {
       const Millis delay = replica->limits->NextRequestAt(now) - now;
       estimate.limit_delay =
@@ -164,6 +196,7 @@
     estimate.min_wait =
         estimate.min_wait ? std::min(*estimate.min_wait, wait) : wait;
   }
+  estimate.permit_fraction = permits.Fraction();
   return estimate;
 }
 
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -59,6 +59,7 @@
   settings.policy.skipping = policy.BooleanOr("skipping", true);
   settings.policy.short_queues = policy.BooleanOr("short_queues", true);
   settings.policy.reopen_skipped = policy.BooleanOr("reopen_skipped", true);
+  settings.policy.spare_permits = policy.BooleanOr("spare_permits", true);
   settings.policy.hedge_short_queues =
       policy.BooleanOr("hedge_short_queues", true);
   settings.policy.cancel_failed = policy.BooleanOr("cancel_failed", true);
--- a/unittests/serving/admission_test.cc
+++ b/unittests/serving/admission_test.cc
@@ -18,6 +18,7 @@
     estimates.push_back(
         {.min_wait = wait < 0 ? std::nullopt : std::optional(Millis(wait)),
          .limit_delay = std::nullopt,
+         .permit_fraction = std::nullopt,
          .max_queue_wait = std::nullopt});
   }
   return estimates;
@@ -100,6 +101,22 @@
   EXPECT_EQ(Admit(estimates, kThreeNeeded).retry_after, Millis(500));
 }
 
+// Guards against requests that use scarce permits although they can do without
+// them, and against leaving out shards without need.
+TEST(AdmissionTest, ScarcestPermitsAreSparedIfTooManyShardsLackThem) {
+  std::vector<SubRequestEstimate> estimates = MakeEstimates({0, 0, 0, 190, 0});
+  estimates[0].permit_fraction = 0.9;
+  estimates[1].permit_fraction = 0.5;
+  EXPECT_TRUE(Admit(estimates, kThreeNeeded).spared.empty());
+  estimates[2].permit_fraction = 0.3;
+  // One of the two shards that the answer can do without is skipped already.
+  EXPECT_EQ(Admit(estimates, kThreeNeeded).skipped, (std::vector<size_t>{3}));
+  EXPECT_EQ(Admit(estimates, kThreeNeeded).spared, (std::vector<size_t>{2}));
+  AdmissionLimits limits = kThreeNeeded;
+  limits.spare_permits = false;
+  EXPECT_TRUE(Admit(estimates, limits).spared.empty());
+}
+
 RC_GTEST_PROP(AdmissionProperty, AdmittedRequestsCanBeAnswered, ()) {
   const auto waits = *rc::gen::container<std::vector<double>>(
       rc::gen::element(double{kNoReplica}, 0.0, 50.0, 184.0, 190.0, 250.0));
--- a/unittests/serving/overload_test.cc
+++ b/unittests/serving/overload_test.cc
@@ -2,10 +2,12 @@
 // that callers get. Each test runs with and without one mechanism.
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -108,13 +110,21 @@
     }
   }
 
+  /// Lets every replica of the shard state a limit of requests per second.
+  void LimitReplicas(size_t shard, double per_second) {
+    for (const auto& replica :
+         m_replicas.GetService(ShardName(shard)).replicas) {
+      m_simulated_replicas.at(replica->registration.id).rate_limit = per_second;
+    }
+  }
+
   /// Submits `per_second` requests a second, of which the given fraction goes
   /// to the light route. Requests of the first second are not counted.
   void Run(double per_second, Millis duration, double light_fraction = 0) {
     const Millis interval(1000 / per_second);
     const Millis end = m_now + duration;
     const Millis counted_from = m_now + Millis(1000);
-    for (; m_now < end; RunUntil(m_now + interval)) {
+    for (; m_now < end; RunUntil(m_now + NextInterval(interval))) {
       const bool light = m_random.NextDouble() < light_fraction;
       SubmittedRequest& submitted = m_submitted[++m_last_key];
       submitted = {m_now, light, m_now >= counted_from};
@@ -131,6 +141,10 @@
     RunUntil(m_now + kCallerTimeout);
   }
 
+  /// Makes the times between requests exponentially distributed instead of
+  /// equal.
+  void UseRandomArrivals() { m_random_arrivals = true; }
+
   const CallerResults& results() const { return m_results; }
   const CallerResults& light_results() const { return m_light_results; }
 
@@ -149,6 +163,7 @@
   struct SimulatedReplica {
     double reject_fraction = 0;
     Millis run_time = kRunTime;
+    std::optional<double> rate_limit;
     std::set<uint64_t> running;
     std::deque<uint64_t> waiting;
   };
@@ -172,6 +187,11 @@
     return hooks;
   }
 
+  Millis NextInterval(Millis mean) {
+    return m_random_arrivals ? mean * -std::log(1 - m_random.NextDouble())
+                             : mean;
+  }
+
   void Schedule(Millis when, std::function<void()> event) {
     m_events.emplace(when.count(), std::move(event));
   }
@@ -252,6 +272,7 @@
     reply.self_report.load =
         LoadReport{static_cast<uint32_t>(replica.running.size()),
                    static_cast<uint32_t>(replica.waiting.size()), kSlots};
+    reply.self_report.rate_limit = replica.rate_limit;
     Schedule(m_now + kOneWayDelay, [this, attempt, reply] {
       m_dispatcher.OnReply(attempt, reply, m_now);
     });
@@ -276,6 +297,7 @@
 
   Millis m_now{1000};
   Random m_random{5};
+  bool m_random_arrivals = false;
   std::multimap<double, std::function<void()>> m_events;
   std::map<std::string, SimulatedReplica> m_simulated_replicas;
   std::map<uint64_t, SentAttempt> m_sent;
@@ -380,6 +402,41 @@
   EXPECT_GT(simulate(true), simulate(false) + 0.05);
 }
 
+// Guards against requests that use permits of two shards although they can do
+// without one, so that the next request gets none. Of two of ten shards, all
+// replicas together take half of the requests; one shard may be missing.
+TEST(OverloadTest, ScarcePermitsAreSparedForOtherRequests) {
+  const auto simulate = [](bool spare_permits) {
+    OverloadSimulation simulation({.spare_permits = spare_permits});
+    simulation.UseRandomArrivals();
+    for (size_t shard = 0; shard < kShards; ++shard) {
+      simulation.AddReplicas(shard, 3);
+      if (shard < 2) {
+        simulation.LimitReplicas(shard, kRequestsPerSecond / 2 / 3);
+      }
+    }
+    simulation.Run(kRequestsPerSecond, kDuration);
+    return simulation.results().mean_score();
+  };
+  // Nine of ten shards score 0.81.
+  EXPECT_GE(simulate(true), 0.75);
+  EXPECT_LT(simulate(false), 0.65);
+}
+
+// Guards against a shard that is left out although it has permits, because it
+// is the only one with a limit.
+TEST(OverloadTest, PermitsOfTheOnlyLimitedShardAreUsed) {
+  OverloadSimulation simulation({});
+  simulation.UseRandomArrivals();
+  for (size_t shard = 0; shard < kShards; ++shard) {
+    simulation.AddReplicas(shard, 3);
+  }
+  simulation.LimitReplicas(0, kRequestsPerSecond / 2 / 3);
+  simulation.Run(kRequestsPerSecond, kDuration);
+  // Half of the answers have all shards, the others score 0.81.
+  EXPECT_GE(simulation.results().mean_score(), 0.95 * (1 + 0.81) / 2);
+}
+
 // Compares the tier with a bound that any tier obeys, over random deployments.
 // Guards against policies that suit one deployment only.
 TEST(OverloadTest, ScoreIsNearTheBoundOfScarceShards) {
--- a/utils/ablation.py
+++ b/utils/ablation.py
@@ -26,6 +26,7 @@
 SETTINGS = pathlib.Path("deploy/node-settings.json")
 SWITCHES = [
     "hedging", "hedge_short_queues", "reported_load", "slowness", "admission", "skipping", "short_queues",
+    "spare_permits",
     "reopen_skipped", "cancel_failed", "local_first", "stale_reads",
 ]
 
