Give the tests of nodes one base class

Cause: four test files repeated the set-up of the platform stand-in, the folder and the nodes.

Change: NodeTestCase. No check changes.

--- /dev/null
+++ b/integration/node_test_case.py
@@ -0,0 +1,36 @@
+"""Base class of the tests of nodes on the stand-in of the users' platform."""
+
+import tempfile
+import unittest
+
+from platform_cluster import Node, merge_problem, wait_for
+from platform_standin import Platform
+
+
+class NodeTestCase(unittest.TestCase):
+    """Provides `platform` with the default services, `folder`, and a list of
+    `nodes` that starts empty."""
+
+    def setUp(self):
+        self.platform = Platform()
+        self.addCleanup(self.platform.close)
+        self.platform.add_default_services()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+        self.nodes = []
+
+    def start_nodes(self, count, store_address=None):
+        """Starts further nodes and waits until they are ready. They reach the
+        store at another address if one is given."""
+        first = len(self.nodes) + 1
+        started = [Node(first + i, self.platform, self.folder, store_address)
+                   for i in range(count)]
+        for node in started:
+            self.addCleanup(node.stop)
+            wait_for(node.ready, "the node is ready")
+        self.nodes += started
+
+    def check_merged(self, reply):
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(merge_problem(reply), "")
--- a/integration/test_hostile_peers.py
+++ b/integration/test_hostile_peers.py
@@ -3,13 +3,12 @@
 
 import resource
 import socket
-import tempfile
 import time
 import unittest
 
-from platform_cluster import (SHARDS, Node, call_node, http_request,
-                              merge_problem, routes, wait_for)
-from platform_standin import ENDLESS, Platform
+from node_test_case import NodeTestCase
+from platform_cluster import SHARDS, call_node, http_request, routes, wait_for
+from platform_standin import ENDLESS
 
 # Bounds the memory that endless replies may cost: an idle node uses about
 # 10 MB, and its settings allow 64 MB of unfinished responses.
@@ -36,22 +35,12 @@
     return socket.create_connection((host, int(port)), timeout=2)
 
 
-class HostilePeersTest(unittest.TestCase):
+class HostilePeersTest(NodeTestCase):
 
     def setUp(self):
-        self.platform = Platform()
-        self.addCleanup(self.platform.close)
-        self.platform.add_default_services()
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = folder.name
-        self.node = Node(1, self.platform, self.folder)
-        self.addCleanup(self.node.stop)
-        wait_for(self.node.ready, "the node is ready")
-
-    def check_merged(self, reply):
-        self.assertEqual(reply.status, 200)
-        self.assertEqual(merge_problem(reply), "")
+        super().setUp()
+        self.start_nodes(1)
+        self.node = self.nodes[0]
 
     def test_one_replica_of_each_shard_sends_endless_replies(self):
         """Guards against late answers and unbounded memory when one replica of
@@ -122,9 +111,8 @@
     def test_forged_gossip(self):
         """Guards against forged or malformed gossip datagrams that change the
         directory, and against one log line for each of them."""
-        other = Node(2, self.platform, self.folder)
-        self.addCleanup(other.stop)
-        wait_for(other.ready, "the second node is ready")
+        self.start_nodes(1)
+        other = self.nodes[1]
         both = {self.node.caller_address, other.caller_address}
         wait_for(lambda: self.node.addresses() == both,
                  "both nodes are known to the directory")
--- a/integration/test_leaving_replicas.py
+++ b/integration/test_leaving_replicas.py
@@ -2,14 +2,12 @@
 it from the store."""
 
 import concurrent.futures
-import tempfile
 import time
 import unittest
 
 from fault_links import Links
-from platform_cluster import (BASE_PORT, Node, call_node, wait_for,
-                              wait_for_fleet)
-from platform_standin import Platform
+from node_test_case import NodeTestCase
+from platform_cluster import BASE_PORT, call_node, wait_for, wait_for_fleet
 from statement_audit import DRAIN_S
 
 LINK_PORTS = BASE_PORT + 6000
@@ -17,23 +15,15 @@
 CONCURRENT_REQUESTS = 12
 
 
-class LeavingReplicasTest(unittest.TestCase):
+class LeavingReplicasTest(NodeTestCase):
     """Node 1 reaches the store; node 2 reaches it over a link."""
 
     def setUp(self):
-        self.platform = Platform()
-        self.addCleanup(self.platform.close)
-        self.platform.add_default_services()
+        super().setUp()
         self.links = Links([self.platform.store.address], LINK_PORTS)
         self.addCleanup(self.links.stop)
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.nodes = [Node(1, self.platform, folder.name),
-                      Node(2, self.platform, folder.name,
-                           self.links.addresses[0])]
-        for node in self.nodes:
-            self.addCleanup(node.stop)
-            wait_for(node.ready, "the node is ready")
+        self.start_nodes(1)
+        self.start_nodes(1, self.links.addresses[0])
         for replica in self.platform.replicas["desk"]:
             # So slow that requests sent at the same time need all replicas.
             replica.work_ms = 50
--- a/integration/test_platform.py
+++ b/integration/test_platform.py
@@ -2,39 +2,25 @@
 
 import os
 import signal
-import tempfile
 import time
 import threading
 import unittest
 
-from platform_cluster import (BASE_PORT, SHARDS, Node, call_node,
-                              http_request, merge_problem, routes, wait_for,
-                              wait_for_fleet)
-from platform_standin import Platform
+from node_test_case import NodeTestCase
+from platform_cluster import (BASE_PORT, SHARDS, call_node, http_request,
+                              routes, wait_for, wait_for_fleet)
 
 
-class PlatformTest(unittest.TestCase):
+class PlatformTest(NodeTestCase):
 
     def setUp(self):
-        self.platform = Platform()
-        self.addCleanup(self.platform.close)
-        self.platform.add_default_services()
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.nodes = [Node(i + 1, self.platform, folder.name)
-                      for i in range(2)]
-        for node in self.nodes:
-            self.addCleanup(node.stop)
-            wait_for(node.ready, "the node is ready")
+        super().setUp()
+        self.start_nodes(2)
 
     def call_node(self, path, node=None, method="GET", body=None,
                   deadline=1000):
         return call_node(node or self.nodes[0], path, method, body, deadline)
 
-    def check_merged(self, reply):
-        self.assertEqual(reply.status, 200)
-        self.assertEqual(merge_problem(reply), "")
-
     def test_every_route_is_served(self):
         """Guards against routes that are not served from end to end."""
         for node in self.nodes:
--- a/integration/test_rate_limits.py
+++ b/integration/test_rate_limits.py
@@ -3,12 +3,11 @@
 
 import concurrent.futures
 import json
-import tempfile
 import time
 import unittest
 
-from platform_cluster import Node, call_node, wait_for, wait_for_fleet
-from platform_standin import Platform
+from node_test_case import NodeTestCase
+from platform_cluster import call_node, wait_for, wait_for_fleet
 from statement_audit import (BACKOFF_REQUESTS, EXCESS_FACTOR, EXCESS_REQUESTS,
                              REACTION_S, WINDOW_S)
 
@@ -19,20 +18,12 @@
 CONCURRENT_REQUESTS = 8
 
 
-class RateLimitsTest(unittest.TestCase):
+class RateLimitsTest(NodeTestCase):
     """Two nodes and three replicas of the service "desk"."""
 
     def setUp(self):
-        self.platform = Platform()
-        self.addCleanup(self.platform.close)
-        self.platform.add_default_services()
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.nodes = [Node(1, self.platform, folder.name),
-                      Node(2, self.platform, folder.name)]
-        for node in self.nodes:
-            self.addCleanup(node.stop)
-            wait_for(node.ready, "the node is ready")
+        super().setUp()
+        self.start_nodes(2)
         wait_for_fleet(self.nodes)
         self.replicas = self.platform.replicas["desk"]
         for replica in self.replicas:
