Remove repeated refusals, a repeated document and unused functions

Change: Overloaded() and TooLittleTimeLeft(); MakeFanoutDocument(); the three Refund functions go. No behaviour changes.

--- a/benchmarks/tanagervane-slopes/engine.cc
+++ b/benchmarks/tanagervane-slopes/engine.cc
@@ -48,21 +48,7 @@
                  [this](const Answer& answer) {
                    m_complete_answers += answer.complete() ? 1 : 0;
                  }}) {
-    Document document;
-    document.team = "team";
-    document.indexes = {{.name = "parts",
-                         .shards = shards,
-                         .replicas = replicas,
-                         .slots = kSlots,
-                         .max_connections = 40,
-                         .connect_time = {}}};
-    document.classes = {{.name = "all",
-                         .index = "parts",
-                         .shape = RequestShape::kEveryShard,
-                         .urgency = Urgency::kUrgent,
-                         .timeout = Millis(86)}};
-    document.tenants = {{"tenant", 1}};
-    m_engine.ApplyDocument(document, m_now);
+    m_engine.ApplyDocument(MakeFanoutDocument(shards, replicas, kSlots), m_now);
     for (uint32_t i = 0; i < shards * replicas; ++i) {
       const ReplicaInfo info = MakeReplicaInfo(i);
       m_engine.UpsertReplica(info, m_now);
--- a/benchmarks/tanagervane-slopes/hedges.cc
+++ b/benchmarks/tanagervane-slopes/hedges.cc
@@ -40,21 +40,8 @@
                    m_refused += answer.refusal ? 1 : 0;
                  }}),
         m_request_interval(1000.0 * shards / kSubRequestsPerSecond) {
-    Document document;
-    document.team = "team";
-    document.indexes = {{.name = "parts",
-                         .shards = shards,
-                         .replicas = kReplicas,
-                         .slots = kSlots,
-                         .max_connections = 40,
-                         .connect_time = {}}};
-    document.classes = {{.name = "all",
-                         .index = "parts",
-                         .shape = RequestShape::kEveryShard,
-                         .urgency = Urgency::kUrgent,
-                         .timeout = Millis(86)}};
-    document.tenants = {{"tenant", 1}};
-    m_engine.ApplyDocument(document, m_now);
+    m_engine.ApplyDocument(MakeFanoutDocument(shards, kReplicas, kSlots),
+                           m_now);
     for (uint32_t i = 0; i < shards * kReplicas; ++i) {
       const std::string id = fmt::format("parts-a-{}", i);
       m_engine.UpsertReplica({id, "10.1.0.1:1", "a", "parts", kSlots}, m_now);
--- a/benchmarks/tanagervane-slopes/measure.cc
+++ b/benchmarks/tanagervane-slopes/measure.cc
@@ -16,6 +16,26 @@
 
 }  // namespace
 
+Document MakeFanoutDocument(uint32_t shards,
+                            uint32_t replicas,
+                            uint32_t slots) {
+  Document document;
+  document.team = "team";
+  document.indexes = {{.name = "parts",
+                       .shards = shards,
+                       .replicas = replicas,
+                       .slots = slots,
+                       .max_connections = 40,
+                       .connect_time = {}}};
+  document.classes = {{.name = "all",
+                       .index = "parts",
+                       .shape = RequestShape::kEveryShard,
+                       .urgency = Urgency::kUrgent,
+                       .timeout = Millis(86)}};
+  document.tenants = {{"tenant", 1}};
+  return document;
+}
+
 double CpuMicros() {
   timespec time{};
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
--- a/benchmarks/tanagervane-slopes/measure.h
+++ b/benchmarks/tanagervane-slopes/measure.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <string_view>
 
+#include "tanagervane/document/document.h"
+
 namespace tanagervane {
 
 /// Seed of all random choices.
@@ -15,6 +17,9 @@
 /// Measurements of each point; the fit of the slopes uses their median.
 inline constexpr int kRepetitions = 5;
 
+/// A document with a class that asks every shard of the index "parts".
+Document MakeFanoutDocument(uint32_t shards, uint32_t replicas, uint32_t slots);
+
 /// Processor time of this process in microseconds.
 double CpuMicros();
 
--- a/include/tanagervane/routing/hedge_policy.h
+++ b/include/tanagervane/routing/hedge_policy.h
@@ -27,9 +27,6 @@
   /// Spends one token. Returns false when less than one token is left.
   bool TrySpend();
 
-  /// Returns a token that was spent on an attempt that was not sent.
-  void Refund();
-
   /// The balance as a fraction of the burst, in [0, 1].
   double fill_fraction() const { return m_tokens / m_burst; }
 
@@ -62,9 +59,6 @@
   /// replica of the shard shed an attempt in the last second.
   bool TryHedge(std::string_view index, double utilisation, bool recently_shed);
 
-  /// Returns the budget of a hedge that was not sent.
-  void Refund(std::string_view index);
-
  private:
   struct IndexState {
     std::vector<float> window;
--- a/include/tanagervane/routing/retry_policy.h
+++ b/include/tanagervane/routing/retry_policy.h
@@ -35,9 +35,6 @@
   /// retried. Spends budget when it returns a delay, except for kDraining.
   std::optional<Millis> TryRetry(const RetryContext& context);
 
-  /// Returns the budget of a retry that was not sent.
-  void Refund(std::string_view index);
-
  private:
   TokenBudget& GetBudget(std::string_view index);
 
--- a/lib/query/query_engine.cc
+++ b/lib/query/query_engine.cc
@@ -66,6 +66,17 @@
                 : average + (sample - average) * kNewSampleWeight;
 }
 
+Refusal Overloaded(std::string detail, Millis retry_after) {
+  return {ErrorCode::kOverloaded, std::move(detail), Outcome::kNotRun,
+          retry_after};
+}
+
+Refusal TooLittleTimeLeft(Millis retry_after) {
+  return Overloaded(
+      "the time left before the deadline is below the required service time",
+      retry_after);
+}
+
 }  // namespace
 
 class QueryEngine::Impl {
@@ -377,23 +388,20 @@
   const Millis required = RequiredServiceTime(spec);
   const Millis wait = queue.EstimatedWait(spec.urgency, request.request.tenant,
                                           request.index->holding_time);
-  const auto refuse = [wait](std::string detail) {
-    return Refusal{ErrorCode::kOverloaded, std::move(detail), Outcome::kNotRun,
-                   std::max(wait, kOverloadRetryAfter)};
-  };
+  const Millis retry_after = std::max(wait, kOverloadRetryAfter);
   if (remaining < required) {
-    return refuse(
-        "the time left before the deadline is below the required "
-        "service time");
+    return TooLittleTimeLeft(retry_after);
   }
   if (wait + required > remaining) {
-    return refuse(
+    return Overloaded(
         "the estimated wait in the queue leaves too little time before the "
-        "deadline");
+        "deadline",
+        retry_after);
   }
   if (!queue.Enqueue(request.serial, spec.urgency, request.request.tenant,
                      spec.name)) {
-    return refuse("the queue of this class and tenant is full");
+    return Overloaded("the queue of this class and tenant is full",
+                      retry_after);
   }
   request.trace->Add(now, "queued");
   SetTimer(request, request.deadline - required);
@@ -573,13 +581,7 @@
       continue;
     }
     request.index->queue.Remove(request.serial);
-    RefuseBeforeStart(
-        request,
-        {ErrorCode::kOverloaded,
-         "the time left before the deadline is below the required "
-         "service time",
-         Outcome::kNotRun, kOverloadRetryAfter},
-        now);
+    RefuseBeforeStart(request, TooLittleTimeLeft(kOverloadRetryAfter), now);
   }
   ContinueWaitingRequests(now);
 }
@@ -603,13 +605,7 @@
     if (remaining <= Millis() ||
         remaining < RequiredServiceTime(*request.spec)) {
       index.queue.Release(request.spec->urgency);
-      RefuseBeforeStart(
-          request,
-          {ErrorCode::kOverloaded,
-           "the time left before the deadline is below the required "
-           "service time",
-           Outcome::kNotRun, kOverloadRetryAfter},
-          now);
+      RefuseBeforeStart(request, TooLittleTimeLeft(kOverloadRetryAfter), now);
       continue;
     }
     Start(request, now);
--- a/lib/routing/hedge_policy.cc
+++ b/lib/routing/hedge_policy.cc
@@ -39,10 +39,6 @@
   return true;
 }
 
-void TokenBudget::Refund() {
-  m_tokens = std::min(m_burst, m_tokens + 1);
-}
-
 HedgePolicy::HedgePolicy(bool enabled) : m_enabled(enabled) {}
 
 HedgePolicy::IndexState& HedgePolicy::GetState(std::string_view index) {
@@ -110,8 +106,4 @@
   return GetState(index).budget.TrySpend();
 }
 
-void HedgePolicy::Refund(std::string_view index) {
-  GetState(index).budget.Refund();
-}
-
 }  // namespace tanagervane
--- a/lib/routing/retry_policy.cc
+++ b/lib/routing/retry_policy.cc
@@ -55,8 +55,4 @@
   return delay;
 }
 
-void RetryPolicy::Refund(std::string_view index) {
-  GetBudget(index).Refund();
-}
-
 }  // namespace tanagervane
