Read what replicas state in truncated responses

Cause: a response that breaks off was reported without its header.

Change: ExchangeResult holds status and fields of a response that broke off after its header, if it answers the request. The dispatcher records what the replica states there before it handles the failure.

Evidence: TruncatedResponseCounts and HeaderOfATruncatedResponseIsReported fail without the change.

--- a/include/tanagervane/http/reader.h
+++ b/include/tanagervane/http/reader.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "tanagervane/http/message.h"
@@ -90,7 +91,12 @@
   /// After kComplete: returns the response.
   HttpResponseMessage TakeMessage();
 
-  /// After kComplete: returns whether the connection can carry another request.
+  /// Returns status and fields of a final response whose header is complete;
+  /// nullopt before that and after TakeMessage().
+  std::optional<HttpResponseMessage> Header() const;
+
+  /// After kComplete and before TakeMessage(): returns whether the connection
+  /// can carry another request.
   bool keep_alive() const;
 
  private:
--- a/include/tanagervane/net/http_connection.h
+++ b/include/tanagervane/net/http_connection.h
@@ -35,7 +35,8 @@
 /// The outcome of a request: a response or an error.
 struct ExchangeResult {
   std::optional<ExchangeError> error;
-  /// Set only if there is no error.
+  /// With an error, only status and fields of a response that broke off after
+  /// its header; status 0 if there is none.
   HttpResponseMessage response;
 };
 
--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -105,6 +105,8 @@
   void Stop(Millis now);
 
   void OnReply(uint64_t attempt, ReplicaReply reply, Millis now);
+  /// Called before OnFailure() when a response broke off after its header.
+  void OnPartialReply(uint64_t attempt, const SelfReport& report, Millis now);
   void OnFailure(uint64_t attempt, FailureKind kind, Millis now);
   void OnProbeReply(ServingReplica& replica,
                     const ProbeReply& reply,
--- a/lib/http/reader.cc
+++ b/lib/http/reader.cc
@@ -206,9 +206,21 @@
   response.status = message.result_int();
   response.fields = CopyFields(message);
   response.body = std::move(message.body());
+  m_parser.reset();
   return response;
 }
 
+std::optional<HttpResponseMessage> HttpResponseReader::Header() const {
+  if (!m_parser || !m_parser->beast.is_header_done()) {
+    return std::nullopt;
+  }
+  const auto& message = m_parser->beast.get();
+  HttpResponseMessage header;
+  header.status = message.result_int();
+  header.fields = CopyFields(message);
+  return header;
+}
+
 bool HttpResponseReader::keep_alive() const {
   return m_parser && m_parser->beast.get().keep_alive() &&
          !m_parser->beast.need_eof();
--- a/lib/net/http_connection.cc
+++ b/lib/net/http_connection.cc
@@ -213,7 +213,9 @@
     return;
   }
   m_reusable = false;
-  Finish({error, {}});
+  std::optional<HttpResponseMessage> header = m_reader->Header();
+  const bool has_header = header && m_matches_request(*header);
+  Finish({error, has_header ? *std::move(header) : HttpResponseMessage()});
 }
 
 void HttpConnection::CloseIdleConnection() {
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -194,6 +194,15 @@
   }
 }
 
+void Dispatcher::OnPartialReply(uint64_t id,
+                                const SelfReport& report,
+                                Millis now) {
+  const auto it = m_attempts.find(id);
+  if (it != m_attempts.end()) {
+    RecordSelfReport(*it->second.replica, report, now);
+  }
+}
+
 void Dispatcher::OnFailure(uint64_t id, FailureKind kind, Millis now) {
   auto attempt = RemoveAttempt(id);
   if (!attempt) {
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -359,6 +359,8 @@
   }
   const Millis now = Poller::Now();
   if (result.error) {
+    m_dispatcher.OnPartialReply(exchange, DecodePartialReply(result.response),
+                                now);
     m_dispatcher.OnFailure(exchange, ToFailureKind(*result.error), now);
   } else {
     m_dispatcher.OnReply(exchange, DecodeReply(std::move(result.response)),
--- a/unittests/net/loopback_test.cc
+++ b/unittests/net/loopback_test.cc
@@ -313,6 +313,29 @@
   size_t m_written = 0;
 };
 
+// Guards against the loss of what a peer states in the header of a response
+// that breaks off, and against the header of another response.
+TEST_F(LoopbackTest, HeaderOfATruncatedResponseIsReported) {
+  for (const bool matches : {true, false}) {
+    auto peer = std::make_unique<EndlessPeer>(
+        m_loop, "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 9\r\n\r\nbody", "");
+    HttpConnection connection(m_poller, peer->address(), {}, Millis(1000),
+                              [] {});
+    ExchangeResult got;
+    connection.Send(
+        std::string(kGetRequest), false,
+        [matches](const HttpResponseMessage&) { return matches; },
+        [&](ExchangeResult result) { got = std::move(result); });
+    RunFor(Millis(30));
+    peer.reset();
+    RunFor(Millis(30));
+    EXPECT_TRUE(got.error);
+    EXPECT_EQ(got.response.status, matches ? 200u : 0u);
+    EXPECT_EQ(got.response.fields.Find("A") != nullptr, matches);
+    EXPECT_EQ(got.response.body, "");
+  }
+}
+
 // Guards against memory use and hanging requests when a faulty server sends
 // without end, in any element of a response. The connection must be closed.
 TEST_F(LoopbackTest, EndlessResponsesFail) {
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -308,6 +308,16 @@
   EXPECT_FALSE(DecodeReply(response).self_report.backoff);
 }
 
+// Guards against statements of another replica that has taken over the address.
+TEST_F(ReplyTest, PartialReplyOfAnotherReplicaStatesNothing) {
+  HttpResponseMessage header;
+  header.fields.Add("Server-Leaving", "1");
+  header.status = 421;
+  EXPECT_FALSE(DecodePartialReply(header).leaving);
+  header.status = 200;
+  EXPECT_TRUE(DecodePartialReply(header).leaving);
+}
+
 // Guards against the loss of a replica that explicitly states that it stays.
 TEST_F(ReplyTest, ZeroDoesNotMeanLeaving) {
   m_response.fields.Add("Server-Leaving", "0");
--- a/unittests/serving/self_report_test.cc
+++ b/unittests/serving/self_report_test.cc
@@ -97,6 +97,17 @@
   EXPECT_TRUE(slow.replica->leaving);
 }
 
+// Guards against ignoring the statements in responses that break off after
+// their header.
+TEST_F(SelfReportTest, TruncatedResponseCounts) {
+  const OutgoingAttempt attempt = SendOne();
+  m_harness.dispatcher.OnPartialReply(attempt.attempt_id, Leaving(),
+                                      m_harness.now);
+  m_harness.dispatcher.OnFailure(attempt.attempt_id,
+                                 FailureKind::kConnectionLost, m_harness.now);
+  EXPECT_TRUE(attempt.replica->leaving);
+}
+
 // Guards against ignoring the statements in replies to health probes.
 TEST_F(SelfReportTest, ProbeReplyCounts) {
   const OutgoingAttempt attempt = SendOne();
