--- a/integration/soak_platform.py
+++ b/integration/soak_platform.py
@@ -291,11 +291,14 @@
         return end_backoff
 
     def leave(self):
-        """One replica leaves for good; it serves until the end of the run."""
+        """One replica leaves for good; it serves until the end of the run. Its
+        report to the store may be late."""
         replicas = self.platform.all_replicas()
-        if not any(replica.leaving for replica in replicas):
-            self.statement_random.choice(replicas).leave()
-        return lambda: None
+        if any(replica.leaving for replica in replicas):
+            return lambda: None
+        replica = self.statement_random.choice(replicas)
+        replica.leaving = True
+        return lambda: replica.register("draining")
 
     def inject(self, generator, faults, seconds, longest_s):
         """Injects faults that last up to `longest_s` each, and ends them."""
