Bound huge rate limits and name the durations of statements once

Cause: a limit of 1e300 requests per second overflowed the count of permits. The durations for which statements are passed on and remembered stood twice.

Change: limits above a million a second count as a million; the constants move to self_report.h.

--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -129,8 +129,8 @@
   std::function<void(ServingReplica&, std::string_view reason)> on_retired;
   /// Called when a replica was added.
   std::function<void(ServingReplica&)> on_added;
-  /// Called when a replica's rate limit changed, begins or ends.
-  /// `source` says who told it.
+  /// Called when a replica's rate limit begins, changes or ends. `source` is
+  /// "response" if the replica told this VM and "peer" if another VM did.
   std::function<void(const ServingReplica&, std::string_view source)>
       on_rate_limit_changed;
   /// Called when a replica takes no requests for some time.
--- a/include/tanagervane/serving/request_limits.h
+++ b/include/tanagervane/serving/request_limits.h
@@ -54,8 +54,8 @@
   /// Sets the fraction of each rate limit that this VM may use.
   void SetShare(double share);
 
-  /// Returns the limits of the incarnation. They are the same object until
-  /// nobody else holds it and it has not been stated for a long time.
+  /// Returns the limits of the incarnation: the same object for as long as
+  /// somebody holds it, and for a long time after that.
   std::shared_ptr<RequestLimits> Get(IncarnationHash incarnation, Millis now);
 
   /// Records what the incarnation stated about its rate limit at `stated_at`;
--- a/include/tanagervane/serving/self_report.h
+++ b/include/tanagervane/serving/self_report.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERVANE_SERVING_SELF_REPORT_H_
 #define TANAGERVANE_SERVING_SELF_REPORT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -10,6 +11,19 @@
 
 namespace tanagervane {
 
+/// How long a VM tells others what a replica stated. Each VM that hears it does
+/// the same, so this is enough to reach a fleet of thousands of VMs.
+inline constexpr Millis kStatementGossipDuration{3000};
+
+/// How long statements are remembered after the registration of a replica was
+/// removed. Much longer than a leaving replica serves or a heartbeat is
+/// delayed.
+inline constexpr Millis kStatementLifetime{600'000};
+
+/// Bounds the memory for statements. Several times the replicas of the largest
+/// fleet.
+inline constexpr size_t kMaxRememberedIncarnations = 100'000;
+
 /// Load that a replica reports with each response.
 struct LoadReport {
   uint32_t running = 0;
--- a/lib/serving/leaving_replicas.cc
+++ b/lib/serving/leaving_replicas.cc
@@ -2,30 +2,17 @@
 
 #include <algorithm>
 
+#include "tanagervane/serving/self_report.h"
 #include "tanagervane/support/hash.h"
 
 namespace tanagervane {
 
-namespace {
-
-/// Much longer than a leaving replica serves or a heartbeat is delayed.
-constexpr Millis kLeavingLifetime{600'000};
-
-/// How long a VM tells others what it has learned. Each of them does the same,
-/// so this is enough to reach a fleet of thousands of VMs.
-constexpr Millis kRecentDuration{3000};
-
-/// Bounds the memory. Several times the replicas of the largest fleet.
-constexpr size_t kMaxLeavingReplicas = 100'000;
-
-}  // namespace
-
 IncarnationHash HashIncarnation(std::string_view replica_key) {
   return StableHash(replica_key);
 }
 
 bool LeavingReplicas::Add(IncarnationHash incarnation, Millis now) {
-  if (size() >= kMaxLeavingReplicas ||
+  if (size() >= kMaxRememberedIncarnations ||
       !m_incarnations.insert(incarnation).second) {
     return false;
   }
@@ -37,7 +24,7 @@
                                                      size_t max_count) {
   const auto first =
       std::ranges::partition_point(m_entries, [&](const Entry& entry) {
-        return now - entry.added_at >= kRecentDuration;
+        return now - entry.added_at >= kStatementGossipDuration;
       });
   const auto recent_count = static_cast<size_t>(m_entries.end() - first);
   std::vector<IncarnationHash> recent;
@@ -51,7 +38,7 @@
 
 void LeavingReplicas::Expire(Millis now) {
   while (!m_entries.empty() &&
-         now - m_entries.front().added_at >= kLeavingLifetime) {
+         now - m_entries.front().added_at >= kStatementLifetime) {
     m_incarnations.erase(m_entries.front().incarnation);
     m_entries.pop_front();
   }
--- a/lib/serving/rate_limiter.cc
+++ b/lib/serving/rate_limiter.cc
@@ -17,6 +17,9 @@
 /// responses tell when a limit near zero has ended.
 constexpr double kMinRequestsPerSecond = 0.25;
 
+/// Higher limits count as this one, which no replica reaches.
+constexpr double kMaxRequestsPerSecond = 1e6;
+
 /// VMs pass on statements within a second, so no VM has asked the replica for
 /// some seconds when the latest statement is this old.
 constexpr Millis kStaleAge{4000};
@@ -78,8 +81,9 @@
 }
 
 Millis RateLimiter::Interval() const {
-  const double own_rate = std::max(*m_limit, kMinRequestsPerSecond) * m_share;
-  return kSecond * (1 / own_rate);
+  const double fleet_rate =
+      std::clamp(*m_limit, kMinRequestsPerSecond, kMaxRequestsPerSecond);
+  return kSecond * (1 / (fleet_rate * m_share));
 }
 
 Millis RateLimiter::OldestPermitAt(Millis now) const {
--- a/lib/serving/request_limits.cc
+++ b/lib/serving/request_limits.cc
@@ -2,22 +2,14 @@
 
 #include <algorithm>
 
+#include "tanagervane/serving/self_report.h"
+
 namespace tanagervane {
 
 namespace {
 
-/// Much longer than a heartbeat is delayed.
-constexpr Millis kLifetimeAfterRemoval{600'000};
-
 constexpr Millis kExpiryInterval{10'000};
 
-/// How long a VM passes on a statement. Each VM that hears it does the same, so
-/// this is enough to reach a fleet of thousands of VMs.
-constexpr Millis kRecentDuration{3000};
-
-/// Bounds the memory. Several times the replicas of the largest fleet.
-constexpr size_t kMaxEntries = 100'000;
-
 }  // namespace
 
 void RequestLimitTable::SetShare(double share) {
@@ -43,7 +35,8 @@
                                         std::optional<double> per_second,
                                         Millis stated_at,
                                         Millis now) {
-  if (m_entries.size() >= kMaxEntries && !m_entries.contains(incarnation)) {
+  if (m_entries.size() >= kMaxRememberedIncarnations &&
+      !m_entries.contains(incarnation)) {
     return false;
   }
   m_recent.insert(incarnation);
@@ -57,7 +50,8 @@
   std::erase_if(m_recent, [&](IncarnationHash incarnation) {
     const auto it = m_entries.find(incarnation);
     return it == m_entries.end() ||
-           now - it->second.limits->rate_limiter.stated_at() >= kRecentDuration;
+           now - it->second.limits->rate_limiter.stated_at() >=
+               kStatementGossipDuration;
   });
   std::vector<RateLimitReport> reports;
   auto it = m_recent.lower_bound(m_next_recent);
@@ -82,7 +76,7 @@
     entry.last_used_at = is_held ? now : entry.last_used_at;
   }
   std::erase_if(m_entries, [&](const auto& item) {
-    return now - item.second.last_used_at >= kLifetimeAfterRemoval;
+    return now - item.second.last_used_at >= kStatementLifetime;
   });
 }
 
--- a/unittests/serving/rate_limiter_test.cc
+++ b/unittests/serving/rate_limiter_test.cc
@@ -70,6 +70,16 @@
   EXPECT_EQ(used, 5u);
 }
 
+// Guards against numbers that overflow and a replica that gets nothing.
+TEST(RateLimiterTest, HugeLimitGrantsPermits) {
+  RateLimiter limiter = MakeLimiter(1e308, 0.01);
+  for (const Millis now : {Millis(1), Millis(5000), Millis(1e9)}) {
+    EXPECT_EQ(limiter.NextPermitAt(now), now);
+    EXPECT_EQ(limiter.CountPermits(5, now), 5u);
+    limiter.UsePermit(now);
+  }
+}
+
 // Guards against an old statement, which another VM passes on, that replaces a
 // newer one.
 TEST(RateLimiterTest, OlderStatementIsIgnored) {
