Split the order ledger into records, results and calls

Cause: order_ledger.cc had grown to over 800 lines and held the text format of records, the results of claims and the calls of the platform beside the maintenance of claims.

Change: order_records holds the records and their format, claim_results the results, order_ledger_calls.cc the reads, writes and deletions. Moves only: a sorted comparison of the lines shows renames (Record to OrderRecord), headers and one comment.

--- a/include/tanagervane/state/order_ledger.h
+++ b/include/tanagervane/state/order_ledger.h
@@ -9,11 +9,11 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "absl/status/status.h"
+#include "tanagervane/state/order_records.h"
 #include "tanagervane/state/pending_call.h"
 #include "tanagervane/state/platform_api.h"
 #include "tanagervane/support/error.h"
@@ -23,18 +23,6 @@
 
 namespace tanagervane {
 
-/// Identifies an order. Equal keys with different issue times are different
-/// orders.
-struct OrderKey {
-  std::string key;
-  WallMillis issued_at;
-
-  bool operator==(const OrderKey&) const = default;
-  bool operator<(const OrderKey& other) const {
-    return std::tie(key, issued_at) < std::tie(other.key, other.issued_at);
-  }
-};
-
 struct ClaimResult {
   enum class Kind {
     kGranted,      ///< The caller sends the order now, once.
@@ -105,18 +93,6 @@
   size_t cached_objects() const { return m_buckets.size(); }
 
  private:
-  enum class RecordState { kClaimed, kDone, kReleased };
-  struct Record {
-    uint64_t digest = 0;
-    std::string holder;
-    std::string nonce;
-    RecordState state = RecordState::kClaimed;
-    std::string result;
-    bool operator==(const Record&) const = default;
-  };
-  /// The content of a bucket, by the text of the order key and issue time.
-  using Records = std::map<std::string, Record>;
-
   enum class OperationKind { kClaim, kFinish, kRelease };
   /// A change of one record.
   struct Operation {
@@ -160,9 +136,9 @@
     /// Operations of the write in flight.
     Operations writing;
     /// The last known content of the object.
-    Records records;
+    OrderRecords records;
     /// The content that the write in flight stores.
-    Records records_in_write;
+    OrderRecords records_in_write;
     uint64_t version = 0;
     /// `records` and `version` may be used for a write.
     bool cached = false;
@@ -180,13 +156,6 @@
   };
   enum class ApplyResult { kChanged, kUnchanged, kRefused, kClaimedByOther };
 
-  static size_t RecordBytes(const std::string& key, const Record& record);
-  static std::string Format(const Records& records);
-  static bool Parse(const std::string& value, Records& records);
-  /// Completes the records of a stale read: adds the records and the results of
-  /// `known` that it lacks.
-  static void MergeKnown(const Records& known, Records& records);
-
   BucketId BucketIdOf(const OrderKey& key) const;
   std::string ObjectName(const BucketId& id) const;
   bool Expired(const OrderKey& key) const;
@@ -201,7 +170,7 @@
   void StartNextCall(const BucketId& id, Millis now);
   void Read(const BucketId& id, Millis now);
   void Write(const BucketId& id, Millis now);
-  void Put(const BucketId& id, Records records, Millis now);
+  void Put(const BucketId& id, OrderRecords records, Millis now);
   void Delete(const BucketId& id, Millis now);
   void OnRead(const BucketId& id,
               PlatformResult result,
@@ -213,11 +182,11 @@
   /// that may have been written into a release.
   bool MustDropBeforeWrite(Operation& operation, Millis now);
   ApplyResult Apply(const Operation& operation,
-                    Records& records,
+                    OrderRecords& records,
                     size_t& bytes,
                     ClaimResult& claim_result) const;
   ApplyResult ApplyClaim(const Operation& operation,
-                         Records& records,
+                         OrderRecords& records,
                          size_t& bytes,
                          ClaimResult& claim_result) const;
   void Confirm(Operation& operation, Millis now);
