--- /dev/null
+++ b/tools/tanagervane-node/node_metrics.cc
@@ -0,0 +1,64 @@
+// Metrics of Node.
+
+#include "tools/tanagervane-node/node.h"
+
+namespace tanagervane {
+
+void Node::UpdateMetrics() {
+  MetricsRegistry& metrics = m_request_log.metrics();
+  const auto set_counter = [&](std::string_view name, std::string_view help,
+                               uint64_t value) {
+    metrics.GetCounter(name, help).RaiseTo(value);
+  };
+  const DispatcherStats& dispatcher = m_dispatcher.stats();
+  set_counter("tanagervane_sends_total", "Sends to replicas.",
+              dispatcher.attempts);
+  set_counter("tanagervane_hedges_total",
+              "Sends while an earlier one was open.", dispatcher.hedges);
+  set_counter("tanagervane_retries_total", "Sends after an earlier one failed.",
+              dispatcher.retries);
+  set_counter("tanagervane_abandoned_total", "Sends broken off.",
+              dispatcher.cancelled_attempts);
+  set_counter("tanagervane_health_probes_total", "Health probes.",
+              dispatcher.probes);
+  set_counter("tanagervane_rate_limited_sends_total",
+              "Sends to replicas that state a rate limit.",
+              dispatcher.rate_limited_attempts);
+  set_counter("tanagervane_rate_limited_extra_sends_total",
+              "Hedges and retries to replicas that state a rate limit.",
+              dispatcher.rate_limited_extra_attempts);
+  set_counter("tanagervane_replica_connections_total",
+              "Connections opened to replicas.", m_connections.stats().opened);
+  set_counter("tanagervane_store_calls_total", "Calls to the platform's store.",
+              m_store->stats().calls);
+  set_counter("tanagervane_store_failures_total", "Calls without an answer.",
+              m_store->stats().failures);
+  const auto set_gauge = [&](std::string_view name, std::string_view help,
+                             double value) {
+    metrics.GetGauge(name, help).Set(value);
+  };
+  set_gauge("tanagervane_running_requests", "Requests without an answer.",
+            static_cast<double>(m_dispatcher.running_requests()));
+  set_gauge("tanagervane_caller_connections", "Open connections of callers.",
+            static_cast<double>(m_caller_listener.stats().connections));
+  set_counter(
+      "tanagervane_caller_connections_evicted_total",
+      "Connections of callers without a request that made room for others.",
+      m_caller_listener.stats().evicted);
+  set_counter("tanagervane_replica_responses_invalid_total",
+              "Responses of replicas that were no HTTP or had no end.",
+              m_connections.stats().invalid);
+  set_counter("tanagervane_gossip_rejected_total",
+              "Gossip that was malformed or came from a foreign address.",
+              m_gossip.rejected());
+  set_gauge("tanagervane_open_replica_connections",
+            "Open connections to replicas.",
+            static_cast<double>(m_connections.stats().open));
+  set_gauge("tanagervane_replicas", "Known replicas.",
+            static_cast<double>(m_replicas.size()));
+  set_gauge("tanagervane_config_version",
+            "Version of the configuration in force.",
+            static_cast<double>(m_peers.self().document_revision));
+}
+
+}  // namespace tanagervane
