Bound the nesting of JSON from other processes

The parser and the destructor of the library do not recurse, but the copy of a value does, once for each level, and ReadObject copied the content. Nothing bounded the depth. Ruled out: recursion in the parser, as a depth of 40,000 passed.

Change: ParseJson() rejects text that is nested deeper than 64 levels, after a scan without recursion; the libraries parse text from outside only with it. The responses of the store are split into entries by the same scanner, so the rejected entry costs itself only. Adds GetErrorMessage() beside the other accessors of errors.

--- a/include/tanagervane/state/store_types.h
+++ b/include/tanagervane/state/store_types.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/status/status.h"
 #include "nlohmann/json.hpp"
 
 namespace tanagervane {
@@ -17,6 +18,8 @@
   /// The store's revision at the object's last change.
   uint64_t revision = 0;
   nlohmann::json content;
+  /// Why the content could not be read; it is then null.
+  absl::Status content_status = absl::OkStatus();
 };
 
 /// Result of a read.
--- a/include/tanagervane/support/error.h
+++ b/include/tanagervane/support/error.h
@@ -54,6 +54,9 @@
 /// The code stored by MakeError(), or nullopt for any other status.
 std::optional<ErrorCode> GetErrorCode(const absl::Status& status);
 
+/// The message of `status`, which it points into.
+std::string_view GetErrorMessage(const absl::Status& status);
+
 /// The path stored by MakeError(), or an empty string.
 std::string GetErrorPath(const absl::Status& status);
 
--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -136,6 +136,23 @@
         self.platform.call(stop_server())
 
 
+class RawSpec(str):
+    """The content of an object as JSON text, which need not be readable."""
+
+
+def encode(value):
+    """Returns the JSON bytes of a response. RawSpec is copied as it is."""
+    if isinstance(value, RawSpec):
+        return value.encode("utf-8", "surrogateescape")
+    if isinstance(value, dict):
+        return b"{%s}" % b",".join(
+            b"%s:%s" % (json.dumps(key).encode(), encode(item))
+            for key, item in value.items())
+    if isinstance(value, list):
+        return b"[%s]" % b",".join(map(encode, value))
+    return json.dumps(value).encode()
+
+
 # Objects by kind and name, with a history of events for watches.
 class Store(Server):
     def __init__(self, platform):
@@ -218,15 +235,15 @@
         body = json.loads(request.body)
         name = parts[1] if len(parts) > 1 else body["meta"]["name"]
         if request.method == "POST" and name in self.objects[kind]:
-            return response(409, json.dumps(self.objects[kind][name]).encode())
+            return response(409, encode(self.objects[kind][name]))
         item = await self.apply(kind, name, body["spec"])
-        return response(200, json.dumps(item).encode())
+        return response(200, encode(item))
 
     def list(self, kind, after):
         names = sorted(n for n in self.objects[kind] if n > after)
         body = {"items": [self.objects[kind][n] for n in names[:PAGE_SIZE]],
                 "hasMore": len(names) > PAGE_SIZE, "at": self.revision}
-        return response(200, json.dumps(body).encode())
+        return response(200, encode(body))
 
     async def watch(self, kind, query):
         since = int(query["watch"])
@@ -239,7 +256,7 @@
             remaining = deadline - time.monotonic()
             if found or remaining <= 0:
                 body = {"events": found, "at": self.revision}
-                return response(200, json.dumps(body).encode())
+                return response(200, encode(body))
             self.changed = self.changed or asyncio.Event()
             self.changed.clear()
             try:
--- a/lib/edge/platform_client.cc
+++ b/lib/edge/platform_client.cc
@@ -8,6 +8,7 @@
 #include "fmt/format.h"
 #include "tanagervane/support/error.h"
 #include "tanagervane/support/json_object.h"
+#include "tanagervane/support/json_text.h"
 
 namespace tanagervane {
 
@@ -90,7 +91,11 @@
 }
 
 PlatformResult ParseVms(const std::string& body, VmSnapshot& snapshot) {
-  const auto json = nlohmann::json::parse(body, nullptr, false);
+  const auto parsed = ParseJson(body);
+  if (!parsed.ok()) {
+    return PlatformResult::kUnavailable;
+  }
+  const nlohmann::json& json = *parsed;
   if (!json.is_object() || !json.contains("version") ||
       !json["version"].is_number_unsigned() || !json.contains("vms") ||
       !json["vms"].is_array()) {
--- a/lib/state/order_records.cc
+++ b/lib/state/order_records.cc
@@ -5,6 +5,7 @@
 
 #include "fmt/format.h"
 #include "nlohmann/json.hpp"
+#include "tanagervane/support/json_text.h"
 
 namespace tanagervane {
 
@@ -68,11 +69,11 @@
 }
 
 bool ParseOrderRecords(const std::string& value, OrderRecords& records) {
-  const auto json = nlohmann::json::parse(value, nullptr, false);
-  if (!json.is_object()) {
+  const auto json = ParseJson(value);
+  if (!json.ok() || !json->is_object()) {
     return false;
   }
-  for (const auto& [key, item] : json.items()) {
+  for (const auto& [key, item] : json->items()) {
     if (!item.is_array() || item.size() != 5 || !item[0].is_number_unsigned() ||
         !item[1].is_string() || !item[2].is_string() ||
         !item[3].is_number_unsigned() || item[3] > 2 || !item[4].is_string()) {
--- a/lib/state/slot_table.cc
+++ b/lib/state/slot_table.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "nlohmann/json.hpp"
+#include "tanagervane/support/json_text.h"
 #include "tanagervane/support/log.h"
 
 namespace tanagervane {
@@ -152,13 +153,13 @@
   }
   Holders holders;
   if (result == PlatformResult::kOk) {
-    const auto json = nlohmann::json::parse(object.value, nullptr, false);
-    if (!json.is_array()) {
+    const auto json = ParseJson(object.value);
+    if (!json.ok() || !json->is_array()) {
       LogEvent("slot_table_malformed").Field("group", m_options.group);
       ScheduleRetry(now);
       return;
     }
-    for (const auto& item : json) {
+    for (const auto& item : *json) {
       if (!item.is_array() || item.size() != 3 ||
           !item[0].is_number_unsigned() || !item[1].is_string() ||
           !item[2].is_number_unsigned()) {
--- a/lib/state/stored_document.cc
+++ b/lib/state/stored_document.cc
@@ -2,18 +2,20 @@
 
 #include "nlohmann/json.hpp"
 #include "tanagervane/support/error.h"
+#include "tanagervane/support/json_text.h"
 
 namespace tanagervane {
 
 absl::StatusOr<StoredDocument> ParseStoredDocument(std::string_view value) {
-  const auto json = nlohmann::json::parse(value, nullptr, false);
+  const auto parsed = ParseJson(value);
   const auto fail = [](std::string_view path) {
     return MakeError(ErrorCode::kInvalidDocument,
                      "stored document is malformed", path);
   };
-  if (!json.is_object()) {
+  if (!parsed.ok() || !parsed->is_object()) {
     return fail("");
   }
+  const nlohmann::json& json = *parsed;
   StoredDocument stored;
   const auto read_string = [&json](const char* name, std::string& out) {
     const auto it = json.find(name);
--- a/lib/support/error.cc
+++ b/lib/support/error.cc
@@ -117,6 +117,11 @@
   return std::nullopt;
 }
 
+std::string_view GetErrorMessage(const absl::Status& status) {
+  const auto message = status.message();
+  return {message.data(), message.size()};
+}
+
 std::string GetErrorPath(const absl::Status& status) {
   const auto payload = status.GetPayload(kPathPayloadUrl);
   return payload ? std::string(*payload) : std::string();
--- a/lib/support/json_object.cc
+++ b/lib/support/json_object.cc
@@ -4,21 +4,21 @@
 
 #include "fmt/format.h"
 #include "tanagervane/support/error.h"
+#include "tanagervane/support/json_text.h"
 
 namespace tanagervane {
 
 JsonObject::JsonObject(std::string_view text, bool allow_comments)
-    : m_object(nlohmann::json::parse(text,
-                                     /*cb=*/nullptr,
-                                     /*allow_exceptions=*/false,
-                                     allow_comments)) {
-  if (m_object.is_discarded()) {
-    m_status = MakeError(ErrorCode::kInvalidRequest, "text is not valid JSON");
-    m_object = nlohmann::json::object();
-  } else if (!m_object.is_object()) {
+    : m_object(nlohmann::json::object()) {
+  absl::StatusOr<nlohmann::json> json = ParseJson(
+      text, allow_comments ? JsonComments::kIgnored : JsonComments::kInvalid);
+  if (!json.ok()) {
+    m_status = json.status();
+  } else if (!json->is_object()) {
     m_status = MakeError(ErrorCode::kInvalidRequest,
                          "top-level value must be a JSON object");
-    m_object = nlohmann::json::object();
+  } else {
+    m_object = *std::move(json);
   }
 }
 
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -37,7 +37,7 @@
   result.has_more = page.has_more;
   for (const StoreObject& object : page.objects) {
     result.last_name = object.name;
-    auto address = DecodeVm(object.content);
+    auto address = DecodeVm(object);
     if (address.ok()) {
       result.vms.push_back({object.name, *std::move(address)});
     } else {
@@ -148,7 +148,7 @@
   if (!IsConfiguration(object)) {
     return;
   }
-  const auto config = DecodeConfig(object.content);
+  const auto config = DecodeConfig(object);
   if (!config.ok()) {
     LogRejected("config_invalid", object.name, config.status());
     return;
@@ -168,7 +168,7 @@
 
 void Node::ApplyReplicaObject(const StoreObject& object) {
   const Millis now = Poller::Now();
-  const auto registration = DecodeReplica(object.name, object.content);
+  const auto registration = DecodeReplica(object);
   if (registration.ok()) {
     m_replicas.Apply(*registration, now);
     return;
@@ -180,7 +180,7 @@
 void Node::ApplyReplicaList(const std::vector<StoreObject>& objects) {
   std::vector<ReplicaRegistration> registrations;
   for (const StoreObject& object : objects) {
-    auto registration = DecodeReplica(object.name, object.content);
+    auto registration = DecodeReplica(object);
     if (registration.ok()) {
       registrations.push_back(*std::move(registration));
     } else {
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -1,6 +1,7 @@
 // Tests the translation between the users' wire and the project's types.
 
 #include <string>
+#include <vector>
 
 #include "gtest/gtest.h"
 #include "nlohmann/json.hpp"
@@ -29,7 +30,7 @@
 }
 
 TEST(ConfigCodecTest, FieldsAreDecoded) {
-  const auto config = DecodeConfig(ConfigJson());
+  const auto config = DecodeConfig({"main", 1, ConfigJson()});
   ASSERT_TRUE(config.ok());
   EXPECT_EQ(config->version, 7u);
   EXPECT_TRUE(config->routes[0].is_fanout());
@@ -46,18 +47,18 @@
 TEST(ConfigCodecTest, UnknownTypeIsNotIdempotent) {
   json spec = ConfigJson();
   spec["routes"][0]["type"] = "something";
-  EXPECT_FALSE(DecodeConfig(spec)->routes[0].idempotent);
+  EXPECT_FALSE(DecodeConfig({"main", 1, spec})->routes[0].idempotent);
 }
 
 // An invalid configuration must be rejected as a whole.
 TEST(ConfigCodecTest, MissingOrMistypedFieldsNameTheirPath) {
   json spec = ConfigJson();
   spec["routes"][0]["host"] = 5;
-  const auto config = DecodeConfig(spec);
+  const auto config = DecodeConfig({"main", 1, spec});
   ASSERT_FALSE(config.ok());
   EXPECT_EQ(GetErrorPath(config.status()), "routes.host");
   for (const char* text : {"null", "[]", "{}", R"({"version":"x"})"}) {
-    EXPECT_FALSE(DecodeConfig(json::parse(text)).ok()) << text;
+    EXPECT_FALSE(DecodeConfig({"main", 1, json::parse(text)}).ok()) << text;
   }
 }
 
@@ -68,7 +69,7 @@
 }
 
 TEST(ReplicaCodecTest, RegistrationIsDecoded) {
-  const auto registration = DecodeReplica("i-1", ReplicaJson());
+  const auto registration = DecodeReplica({"i-1", 1, ReplicaJson()});
   ASSERT_TRUE(registration.ok());
   EXPECT_EQ(registration->started_at_ms, 1700000000000);
   EXPECT_EQ(registration->slots, 3u);
@@ -81,17 +82,17 @@
   for (const char* field : {"service", "addr", "state", "concurrencyLimit"}) {
     json missing = ReplicaJson();
     missing.erase(field);
-    EXPECT_FALSE(DecodeReplica("i", missing).ok()) << field;
+    EXPECT_FALSE(DecodeReplica({"i", 1, missing}).ok()) << field;
     json mistyped = ReplicaJson();
     mistyped[field] = json::array();
-    EXPECT_FALSE(DecodeReplica("i", mistyped).ok()) << field;
+    EXPECT_FALSE(DecodeReplica({"i", 1, mistyped}).ok()) << field;
   }
   json state = ReplicaJson();
   state["state"] = "sleeping";
-  EXPECT_FALSE(DecodeReplica("i", state).ok());
+  EXPECT_FALSE(DecodeReplica({"i", 1, state}).ok());
   json address = ReplicaJson();
   address["addr"] = "nowhere";
-  EXPECT_FALSE(DecodeReplica("i", address).ok());
+  EXPECT_FALSE(DecodeReplica({"i", 1, address}).ok());
 }
 
 TEST(StoreCodecTest, PagesAndEventsAreDecoded) {
@@ -109,6 +110,32 @@
   EXPECT_TRUE(events->events[0].deleted);
 }
 
+std::string PageWithContent(const std::string& content) {
+  return R"({"items":[{"meta":{"name":"a","rev":3},"spec":)" + content +
+         R"(},{"meta":{"name":"b","rev":4},"spec":)" + ReplicaJson().dump() +
+         R"(}],"hasMore":false,"at":9})";
+}
+
+// Guards against an entry of another writer that ends the process by a stack
+// overflow, or that hides the entries beside it.
+TEST(StoreCodecTest, DeeplyNestedEntryIsInvalidAlone) {
+  constexpr size_t kDepth = 500'000;
+  std::string objects;
+  for (size_t i = 0; i < kDepth; ++i) {
+    objects += R"({"a":)";
+  }
+  for (const std::string& value :
+       {std::string(kDepth, '[') + std::string(kDepth, ']'),
+        objects + "1" + std::string(kDepth, '}')}) {
+    const auto page = DecodePage(PageWithContent(R"({"zone":)" + value + "}"));
+    ASSERT_TRUE(page.ok()) << page.status();
+    const std::vector<StoreObject> copies = page->objects;
+    ASSERT_EQ(copies.size(), 2u);
+    EXPECT_FALSE(DecodeReplica(copies[0]).ok());
+    EXPECT_TRUE(DecodeReplica(copies[1]).ok());
+  }
+}
+
 // A corrupt response of the store must not crash the process.
 RC_GTEST_PROP(StoreCodecProperty, CorruptBodiesDoNotCrash, ()) {
   std::string text = R"({"items":[{"meta":{"name":"a","rev":3},"spec":)" +
@@ -118,7 +145,7 @@
   const auto page = DecodePage(text);
   if (page.ok()) {
     for (const StoreObject& object : page->objects) {
-      const auto registration = DecodeReplica(object.name, object.content);
+      const auto registration = DecodeReplica(object);
       RC_ASSERT(registration.ok() || !registration.status().message().empty());
     }
   }
