Count limits on a removed registration from the first VM that saw it

A VM with stale reads learned of the removal 1.2 to 1.7 s late and then kept the replica for the whole grace time of 2.2 s, as if it had read the removal within 0.3 s. The logs of the case show store_watch_lags at 1.2 to 1.7 s and entry_lapsed at 3.5 to 3.9 s after the removal; with reads that are 0.3 s old the case holds, which rules out the batch and the drain handling.

Change: RevisionGossip passes on which change was first seen how long ago, to all VMs; RevisionTimes finds the time for a removal. The wait for the own watch and the grace time count from it. As the grace time then ends before a stale read can show the return of registrations that lapsed in an outage, the latest changes are read once before most replicas of a service are retired.

--- a/include/tanagervane/fleet/udp_gossip.h
+++ b/include/tanagervane/fleet/udp_gossip.h
@@ -10,9 +10,11 @@
 #include <string_view>
 
 #include "absl/status/status.h"
+#include "absl/status/statusor.h"
 #include "tanagervane/fleet/gossip_codec.h"
 #include "tanagervane/fleet/gossip_sender.h"
 #include "tanagervane/fleet/replica_gossip.h"
+#include "tanagervane/fleet/revision_gossip.h"
 #include "tanagervane/net/poller.h"
 #include "tanagervane/routing/quarantine.h"
 #include "tanagervane/state/peer_table.h"
@@ -35,6 +37,11 @@
   std::function<ReplicaGossip(Millis now)> make_replica_gossip;
   /// A message about replicas was accepted.
   std::function<void(const ReplicaGossip&)> on_replica_gossip;
+  /// Returns which recent changes of the store have been seen; as
+  /// make_replica_gossip.
+  std::function<RevisionGossip(Millis now)> make_revision_gossip;
+  /// A message about changes of the store was accepted.
+  std::function<void(const RevisionGossip&)> on_revision_gossip;
 };
 
 /// Sends peer and quarantine records to a few peers in each gossip interval,
@@ -69,7 +76,12 @@
   void SendTo(const std::string& target, std::string_view bytes);
   void Receive();
   void ProcessDatagram(std::string_view bytes, const std::string& source);
-  void ProcessReplicaGossip(std::string_view bytes, const std::string& source);
+  /// Passes a message other than GossipMessage to its hook if it is sound and
+  /// comes from its sender's address.
+  template <typename Message>
+  void ProcessReport(const absl::StatusOr<Message>& message,
+                     const std::function<void(const Message&)>& accept,
+                     const std::string& source);
   KnownAddresses FindAddresses(std::string_view vm) const;
   /// Returns whether the message may be merged. Reduces the message of a new VM
   /// to the VM's own record.
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -60,10 +60,12 @@
   /// The replica is draining, has stated that it leaves, or is removed. It
   /// receives no new requests.
   bool leaving = false;
-  /// When the registration vanished although the replica was not draining. The
-  /// replica stays in use for a grace time, because the registration may come
-  /// back.
+  /// When the first VM of the fleet saw that the registration had vanished
+  /// although the replica was not draining. The replica stays in use for a
+  /// grace time, because the registration may come back.
   std::optional<Millis> lapsed_at;
+  /// The latest state was read before the end of the grace time.
+  bool lapse_verified = false;
   Millis warming_up_until;
   /// Never null.
   std::shared_ptr<RequestLimits> limits;
@@ -161,11 +163,12 @@
   /// Sets how long a replica keeps serving after its registration was removed.
   void SetDrainTimeout(Millis timeout) { m_drain_timeout = timeout; }
 
-  /// Called when a registration was removed from the store. A draining replica
-  /// is retired. Any other registration may have lapsed during an outage of the
-  /// store that this VM did not notice, so its replica stays in use for a grace
-  /// time.
-  void Remove(std::string_view id, Millis now);
+  /// Called when a registration was removed from the store; `seen_at` is the
+  /// earliest time at which a VM is known to have seen the removal. A draining
+  /// replica is retired. Any other registration may have lapsed during an
+  /// outage of the store that this VM did not notice, so its replica stays in
+  /// use for a grace time, which begins at `seen_at`.
+  void Remove(std::string_view id, Millis seen_at, Millis now);
 
   /// Ends the use of this incarnation of a replica, which is about to end.
   void MarkLeaving(ServingReplica& replica,
@@ -201,10 +204,18 @@
     return m_limits.RecentRateLimits(now, max_count);
   }
 
-  /// Applies a complete list; replicas that are not listed count as removed.
+  /// Applies a complete list; replicas that are not listed count as removed,
+  /// see Remove().
   void ApplyList(std::span<const ReplicaRegistration> registrations,
+                 Millis seen_at,
                  Millis now);
 
+  /// Returns whether the latest registrations should be read now: the grace
+  /// time of most replicas of a service is about to end. A service rarely
+  /// leaves as a whole, so their registrations probably lapsed during an outage
+  /// and may be back already. Returns true once for each lapse.
+  bool ShouldVerifyLapse(Millis now);
+
   /// Sets whether the store is reachable. While it is not, no lapsed replica is
   /// retired; for some time after its return, the full grace time applies.
   void SetStoreReachable(bool reachable, Millis now);
--- a/include/tanagervane/state/kind_watcher.h
+++ b/include/tanagervane/state/kind_watcher.h
@@ -30,12 +30,16 @@
   /// Runs a task after a delay.
   std::function<void(Millis delay, std::function<void()> task)> run_after;
 
-  /// Receives all objects after a complete list.
-  std::function<void(const std::vector<StoreObject>&)> on_snapshot;
+  /// Receives all objects after a complete list. All objects that are missing
+  /// in it were deleted by `removal_revision`.
+  std::function<void(const std::vector<StoreObject>&,
+                     uint64_t removal_revision)>
+      on_snapshot;
   /// Receives an object that was created or changed.
   std::function<void(const StoreObject&)> on_changed;
-  /// Receives the name of an object that was deleted.
-  std::function<void(std::string_view name)> on_removed;
+  /// Receives the name of an object that was deleted, and a revision of the
+  /// store by which it was.
+  std::function<void(std::string_view name, uint64_t revision)> on_removed;
   /// Called when another VM has seen a change that this VM has lacked for
   /// KindWatcherOptions::lag_timeout. All changes up to `applied_revision` are
   /// applied here; `remote_revision` is that of the latest change reported by
@@ -83,12 +87,16 @@
   void SetWatchesLatest(bool latest);
 
   /// Handles a report that another VM has seen a change of this kind at the
-  /// given revision of the store. If this VM still lacks the change after
-  /// KindWatcherOptions::lag_timeout, its watch lags or is unresponsive. A VM
-  /// with a stale watch then reads the latest changes, and lists all objects if
-  /// these do not contain the change. A VM that watches the latest state lists
-  /// all objects at once.
-  void OnRemoteRevision(uint64_t revision, Millis now);
+  /// given revision of the store, `age` ago. If this VM still lacks the change
+  /// KindWatcherOptions::lag_timeout after that, its watch lags or is
+  /// unresponsive. A VM with a stale watch then reads the latest changes, and
+  /// lists all objects if these do not contain the change. A VM that watches
+  /// the latest state lists all objects at once.
+  void OnRemoteRevision(uint64_t revision, Millis now, Millis age = Millis(0));
+
+  /// Reads the latest changes now instead of waiting for the watch. Does
+  /// nothing while the store is unreachable or a list is being read.
+  void ReadNow();
 
   /// The store's revision of the latest change that this VM has seen.
   uint64_t last_change_revision() const { return m_last_change_revision; }
@@ -112,7 +120,8 @@
   void OnPage(StoreResult result, StorePage page);
   void Watch();
   void OnWatchEvents(StoreResult result, const StoreEvents& events);
-  void ApplyEvent(const StoreEvent& event);
+  /// `revision` is that of the response that contains the event.
+  void ApplyEvent(const StoreEvent& event, uint64_t revision);
   /// Lists again after a backoff that follows a failed call.
   void RelistAfterBackoff(StoreResult result);
   void SetReachable(bool reachable, StoreResult result);
--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -158,6 +158,8 @@
     def __init__(self, platform):
         self.objects = collections.defaultdict(dict)
         self.events = []
+        # Revisions, with the times at which they began.
+        self.change_times = [(1, 0.0)]
         # Watches from before this revision get 410.
         self.oldest_revision = 0
         self.revision = 1
@@ -174,6 +176,8 @@
         self.lose_answers = False
         # Every answer is delayed.
         self.delay_s = 0
+        # Reads that allow stale data show the state of this long ago.
+        self.stale_s = 0
         # The name of the endless reply that every call gets.
         self.endless = None
         super().__init__(platform)
@@ -199,6 +203,7 @@
             del self.objects[kind][name]
         else:
             self.objects[kind][name] = item
+        self.change_times.append((self.revision, time.monotonic()))
         self.events.append((self.revision, kind,
                             {"object": item, "deleted": spec is None}))
         if self.changed:
@@ -220,7 +225,7 @@
         if request.method == "GET" and "watch" in request.query:
             return await self.watch(kind, request.query)
         if request.method == "GET":
-            return self.list(kind, request.query.get("after", ""))
+            return self.list(kind, request.query)
         if request.method == "DELETE":
             if parts[1] not in self.objects[kind]:
                 return response(404)
@@ -239,10 +244,26 @@
         item = await self.apply(kind, name, body["spec"])
         return response(200, encode(item))
 
-    def list(self, kind, after):
-        names = sorted(n for n in self.objects[kind] if n > after)
-        body = {"items": [self.objects[kind][n] for n in names[:PAGE_SIZE]],
-                "hasMore": len(names) > PAGE_SIZE, "at": self.revision}
+    def visible_revision(self, query):
+        """Returns the latest revision that a read shows."""
+        if not self.stale_s or query.get("staleOk") != "1":
+            return self.revision
+        until = time.monotonic() - self.stale_s
+        return max(r for r, since in self.change_times if since <= until)
+
+    def list(self, kind, query):
+        revision = self.visible_revision(query)
+        objects = {}
+        for event_revision, event_kind, event in self.events:
+            name = event["object"]["meta"]["name"]
+            if event_kind != kind or event_revision > revision:
+                continue
+            objects[name] = event["object"]
+            if event["deleted"]:
+                del objects[name]
+        names = sorted(n for n in objects if n > query.get("after", ""))
+        body = {"items": [objects[n] for n in names[:PAGE_SIZE]],
+                "hasMore": len(names) > PAGE_SIZE, "at": revision}
         return response(200, encode(body))
 
     async def watch(self, kind, query):
@@ -251,11 +272,13 @@
         while True:
             if since < self.oldest_revision:
                 return response(410)
+            revision = self.visible_revision(query)
             found = [] if self.omit_events else [
-                e for r, k, e in self.events if k == kind and r > since]
+                e for r, k, e in self.events
+                if k == kind and since < r <= revision]
             remaining = deadline - time.monotonic()
             if found or remaining <= 0:
-                body = {"events": found, "at": self.revision}
+                body = {"events": found, "at": max(revision, since)}
                 return response(200, encode(body))
             self.changed = self.changed or asyncio.Event()
             self.changed.clear()
--- a/lib/fleet/udp_gossip.cc
+++ b/lib/fleet/udp_gossip.cc
@@ -90,11 +90,17 @@
   ReplicaGossip replica_gossip = m_hooks.make_replica_gossip(now);
   replica_gossip.sender = message.sender;
   const std::string replica_bytes = EncodeReplicaGossip(replica_gossip);
+  RevisionGossip revision_gossip = m_hooks.make_revision_gossip(now);
+  revision_gossip.sender = message.sender;
+  const std::string revision_bytes = EncodeRevisionGossip(revision_gossip);
   for (const std::string& target : targets) {
     SendTo(target, bytes);
     if (!replica_gossip.empty()) {
       SendTo(target, replica_bytes);
     }
+    if (!revision_gossip.empty()) {
+      SendTo(target, revision_bytes);
+    }
   }
 }
 
@@ -129,7 +135,13 @@
 void UdpGossip::ProcessDatagram(std::string_view bytes,
                                 const std::string& source) {
   if (IsReplicaGossip(bytes)) {
-    ProcessReplicaGossip(bytes, source);
+    ProcessReport(DecodeReplicaGossip(bytes), m_hooks.on_replica_gossip,
+                  source);
+    return;
+  }
+  if (IsRevisionGossip(bytes)) {
+    ProcessReport(DecodeRevisionGossip(bytes), m_hooks.on_revision_gossip,
+                  source);
     return;
   }
   auto message = DecodeGossip(bytes);
@@ -147,9 +159,10 @@
   m_hooks.on_received(*message);
 }
 
-void UdpGossip::ProcessReplicaGossip(std::string_view bytes,
-                                     const std::string& source) {
-  const auto message = DecodeReplicaGossip(bytes);
+template <typename Message>
+void UdpGossip::ProcessReport(const absl::StatusOr<Message>& message,
+                              const std::function<void(const Message&)>& accept,
+                              const std::string& source) {
   if (!message.ok()) {
     CountRejected("malformed", source);
     return;
@@ -160,7 +173,7 @@
     return;
   }
   ++m_received;
-  m_hooks.on_replica_gossip(*message);
+  accept(*message);
 }
 
 KnownAddresses UdpGossip::FindAddresses(std::string_view vm) const {
--- a/lib/serving/replica_set.cc
+++ b/lib/serving/replica_set.cc
@@ -14,10 +14,14 @@
 /// back within two seconds of its return.
 constexpr Millis kMaxLapseGrace{2200};
 
-/// Time for a removal to reach this VM and take effect, in addition to the time
-/// for which changes are gathered.
+/// Time for a removal to reach the first VM, in addition to the time for which
+/// changes are gathered, and for the end of the grace time to take effect.
 constexpr Millis kRemovalPropagationDelay{300};
 
+/// How long before the end of the grace time a lapse is verified. Leaves time
+/// for a call of the store.
+constexpr Millis kLapseVerificationTime{250};
+
 /// How long after the store's return the full grace time applies to vanished
 /// registrations.
 constexpr Millis kStoreRecoveryTime{2500};
@@ -116,6 +120,7 @@
   }
   ServingReplica& replica = *it->second;
   replica.lapsed_at.reset();
+  replica.lapse_verified = false;
   replica.registration = registration;
   if (registration.warm_up_left > Millis(0)) {
     replica.warming_up_until = now + registration.warm_up_left;
@@ -180,7 +185,7 @@
   }
 }
 
-void ReplicaSet::Remove(std::string_view id, Millis now) {
+void ReplicaSet::Remove(std::string_view id, Millis seen_at, Millis now) {
   const auto it = m_replicas.find(id);
   if (it == m_replicas.end()) {
     return;
@@ -190,11 +195,12 @@
     return;
   }
   if (!it->second->lapsed_at) {
-    it->second->lapsed_at = now;
+    it->second->lapsed_at = IsStoreUnstable(now) ? now : std::min(seen_at, now);
   }
 }
 
 void ReplicaSet::ApplyList(std::span<const ReplicaRegistration> registrations,
+                           Millis seen_at,
                            Millis now) {
   std::set<std::string_view> listed;
   for (const ReplicaRegistration& registration : registrations) {
@@ -208,8 +214,28 @@
     }
   }
   for (const std::string& id : missing) {
-    Remove(id, now);
+    Remove(id, seen_at, now);
+  }
+}
+
+bool ReplicaSet::ShouldVerifyLapse(Millis now) {
+  const Millis verify_after = LapseGrace(now) - kLapseVerificationTime;
+  bool verify = false;
+  for (const auto& [name, service] : m_services) {
+    const auto is_due = [&](const std::shared_ptr<ServingReplica>& replica) {
+      return replica->lapsed_at && !replica->lapse_verified &&
+             now - *replica->lapsed_at >= verify_after;
+    };
+    const auto due = std::ranges::count_if(service->replicas, is_due);
+    if (2 * static_cast<size_t>(due) <= service->replicas.size()) {
+      continue;
+    }
+    for (const auto& replica : service->replicas) {
+      replica->lapse_verified |= is_due(replica);
+    }
+    verify = true;
   }
+  return verify;
 }
 
 bool ReplicaSet::IsStoreUnstable(Millis now) const {
--- a/lib/state/kind_watcher.cc
+++ b/lib/state/kind_watcher.cc
@@ -105,6 +105,12 @@
 
 void KindWatcher::InstallSnapshot() {
   m_resyncing = false;
+  // Without a change that another VM has seen earlier, the list itself is the
+  // first to show what is missing.
+  const uint64_t removal_revision =
+      m_remote_revision > m_applied_revision
+          ? std::min(m_remote_revision, m_list_revision)
+          : m_list_revision;
   m_watch_revision = m_list_revision;
   m_object_revisions.clear();
   for (const StoreObject& object : m_listed_objects) {
@@ -119,7 +125,7 @@
     m_remote_revision = m_applied_revision;
     m_lagging_since.reset();
   }
-  m_hooks.on_snapshot(std::exchange(m_listed_objects, {}));
+  m_hooks.on_snapshot(std::exchange(m_listed_objects, {}), removal_revision);
 }
 
 void KindWatcher::Watch() {
@@ -192,11 +198,17 @@
   SetReachable(true, StoreResult::kOk);
   m_watch_revision = std::max(m_watch_revision, events.revision);
   for (const StoreEvent& event : events.events) {
-    ApplyEvent(event);
+    ApplyEvent(event, events.revision);
   }
 }
 
-void KindWatcher::OnRemoteRevision(uint64_t revision, Millis now) {
+void KindWatcher::ReadNow() {
+  if (m_reachable && m_has_snapshot && !m_resyncing) {
+    ReadLatestChanges();
+  }
+}
+
+void KindWatcher::OnRemoteRevision(uint64_t revision, Millis now, Millis age) {
   // Keeps the maximum: reports from another lagging VM must not hide the
   // greater revision.
   m_remote_revision = std::max(m_remote_revision, revision);
@@ -205,8 +217,7 @@
     return;
   }
   if (!m_lagging_since) {
-    m_lagging_since = now;
-    return;
+    m_lagging_since = now - age;
   }
   if (now - *m_lagging_since < m_options.lag_timeout || !m_reachable ||
       m_resyncing) {
@@ -221,7 +232,7 @@
   }
 }
 
-void KindWatcher::ApplyEvent(const StoreEvent& event) {
+void KindWatcher::ApplyEvent(const StoreEvent& event, uint64_t revision) {
   const StoreObject& object = event.object;
   m_last_change_revision = std::max(m_last_change_revision, object.revision);
   m_applied_revision = std::max(m_applied_revision, object.revision);
@@ -230,8 +241,14 @@
     return;
   }
   if (event.deleted) {
-    m_object_revisions.erase(object.name);
-    m_hooks.on_removed(object.name);
+    // The event may hold the revision of the object's last change or that of
+    // its deletion.
+    const bool is_deletion =
+        known == m_object_revisions.end() || object.revision > known->second;
+    if (known != m_object_revisions.end()) {
+      m_object_revisions.erase(known);
+    }
+    m_hooks.on_removed(object.name, is_deletion ? object.revision : revision);
     return;
   }
   m_object_revisions[object.name] = object.revision;
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -399,6 +399,10 @@
   m_directory_listener.EnforceTimeouts();
   m_metrics_listener.EnforceTimeouts();
   m_connections.EnforceTimeouts(now);
+  if (m_replicas.ShouldVerifyLapse(now)) {
+    LogEvent("lapse_verified").Field("replicas", m_replicas.size());
+    m_replica_watcher->ReadNow();
+  }
   m_replicas.RetireLapsed(now);
   m_dispatcher.CheckReplicaHealth(now);
   UpdateTimer();
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -24,6 +25,7 @@
 #include "tanagervane/state/entry_directory.h"
 #include "tanagervane/state/kind_watcher.h"
 #include "tanagervane/state/peer_table.h"
+#include "tanagervane/state/revision_times.h"
 #include "tools/tanagervane-node/request_log.h"
 #include "tools/tanagervane-node/settings.h"
 
@@ -74,7 +76,12 @@
   // The store.
   void ApplyConfigObject(const StoreObject& object);
   void ApplyReplicaObject(const StoreObject& object);
-  void ApplyReplicaList(const std::vector<StoreObject>& objects);
+  void ApplyReplicaList(const std::vector<StoreObject>& objects,
+                        uint64_t removal_revision);
+  /// Applies what other VMs have seen of one kind of objects.
+  static void ApplyReports(std::span<const RevisionReport> reports,
+                           RevisionTimes& times,
+                           KindWatcher& watcher);
   void OnStoreReachable(StoreKind kind, bool reachable, StoreResult result);
 
   // The fleet.
@@ -111,6 +118,10 @@
   std::unique_ptr<StoreClient> m_store;
   std::unique_ptr<KindWatcher> m_config_watcher;
   std::unique_ptr<KindWatcher> m_replica_watcher;
+  /// When changes of the configuration and of the registrations were first
+  /// seen in the fleet.
+  RevisionTimes m_config_times;
+  RevisionTimes m_replica_times;
   /// By key of a running request: the id that its caller gave and that the
   /// answer echoes.
   std::unordered_map<RequestKey, std::string> m_request_ids;
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -68,6 +68,8 @@
             const Millis now = Poller::Now();
             m_config_watcher->OnRemoteRevision(message.config_revision, now);
             m_replica_watcher->OnRemoteRevision(message.replica_revision, now);
+            m_config_times.Record(message.config_revision, now);
+            m_replica_times.Record(message.replica_revision, now);
           },
       .make_replica_gossip =
           [this](Millis now) {
@@ -83,9 +85,32 @@
             const Millis now = Poller::Now();
             m_replicas.MarkLeaving(message.leaving, now);
             m_replicas.RecordRateLimits(message.rate_limits, now);
+          },
+      .make_revision_gossip =
+          [this](Millis now) {
+            RevisionGossip message;
+            message.config = m_config_times.Recent(now, kMaxGossipedRevisions);
+            message.replicas =
+                m_replica_times.Recent(now, kMaxGossipedRevisions);
+            return message;
+          },
+      .on_revision_gossip =
+          [this](const RevisionGossip& message) {
+            ApplyReports(message.config, m_config_times, *m_config_watcher);
+            ApplyReports(message.replicas, m_replica_times, *m_replica_watcher);
           }};
 }
 
+void Node::ApplyReports(std::span<const RevisionReport> reports,
+                        RevisionTimes& times,
+                        KindWatcher& watcher) {
+  const Millis now = Poller::Now();
+  for (const RevisionReport& report : reports) {
+    times.Record(report.revision, now - report.age);
+    watcher.OnRemoteRevision(report.revision, now, report.age);
+  }
+}
+
 KindWatcherHooks Node::StoreHooks(StoreKind kind) {
   KindWatcherHooks hooks;
   hooks.list = [this, kind](std::string_view after, Freshness freshness,
@@ -115,15 +140,19 @@
 
 KindWatcherHooks Node::ConfigHooks() {
   KindWatcherHooks hooks = StoreHooks(StoreKind::kConfig);
-  hooks.on_snapshot = [this](const std::vector<StoreObject>& objects) {
+  hooks.on_snapshot = [this](const std::vector<StoreObject>& objects,
+                             uint64_t) {
+    m_config_times.Record(m_config_watcher->last_change_revision(),
+                          Poller::Now());
     std::ranges::for_each(objects, [this](const StoreObject& object) {
       ApplyConfigObject(object);
     });
   };
   hooks.on_changed = [this](const StoreObject& object) {
+    m_config_times.Record(object.revision, Poller::Now());
     ApplyConfigObject(object);
   };
-  hooks.on_removed = [](std::string_view name) {
+  hooks.on_removed = [](std::string_view name, uint64_t) {
     // The configuration in force remains.
     LogEvent("config_object_removed").Field("object", name);
   };
@@ -132,14 +161,21 @@
 
 KindWatcherHooks Node::ReplicaHooks() {
   KindWatcherHooks hooks = StoreHooks(StoreKind::kReplicas);
-  hooks.on_snapshot = [this](const std::vector<StoreObject>& objects) {
-    ApplyReplicaList(objects);
+  hooks.on_snapshot = [this](const std::vector<StoreObject>& objects,
+                             uint64_t removal_revision) {
+    m_replica_times.Record(m_replica_watcher->last_change_revision(),
+                           Poller::Now());
+    ApplyReplicaList(objects, removal_revision);
   };
   hooks.on_changed = [this](const StoreObject& object) {
+    m_replica_times.Record(object.revision, Poller::Now());
     ApplyReplicaObject(object);
   };
-  hooks.on_removed = [this](std::string_view name) {
-    m_replicas.Remove(name, Poller::Now());
+  hooks.on_removed = [this](std::string_view name, uint64_t revision) {
+    const Millis now = Poller::Now();
+    m_replica_times.Record(revision, now);
+    m_replicas.Remove(name, m_replica_times.SeenAt(revision).value_or(now),
+                      now);
   };
   return hooks;
 }
@@ -174,10 +210,11 @@
     return;
   }
   LogRejected("replica_entry_invalid", object.name, registration.status());
-  m_replicas.Remove(object.name, now);
+  m_replicas.Remove(object.name, now, now);
 }
 
-void Node::ApplyReplicaList(const std::vector<StoreObject>& objects) {
+void Node::ApplyReplicaList(const std::vector<StoreObject>& objects,
+                            uint64_t removal_revision) {
   std::vector<ReplicaRegistration> registrations;
   for (const StoreObject& object : objects) {
     auto registration = DecodeReplica(object);
@@ -187,7 +224,10 @@
       LogRejected("replica_entry_invalid", object.name, registration.status());
     }
   }
-  m_replicas.ApplyList(registrations, Poller::Now());
+  const Millis now = Poller::Now();
+  m_replicas.ApplyList(registrations,
+                       m_replica_times.SeenAt(removal_revision).value_or(now),
+                       now);
   UpdateState();
 }
 
--- a/unittests/serving/dispatcher_test.cc
+++ b/unittests/serving/dispatcher_test.cc
@@ -275,8 +275,8 @@
 TEST(DispatcherTest, RefusedAtOnceWhenTooFewShardsHaveReplicas) {
   Harness h;
   for (size_t i = 0; i < Harness::kReplicas; ++i) {
-    h.replicas.Remove(fmt::format("shard0-{}", i), h.now);
-    h.replicas.Remove(fmt::format("shard1-{}", i), h.now);
+    h.replicas.Remove(fmt::format("shard0-{}", i), h.now, h.now);
+    h.replicas.Remove(fmt::format("shard1-{}", i), h.now, h.now);
   }
   h.replicas.RetireLapsed(h.now + Millis(3000));
   h.Submit("/all/x");
--- a/unittests/serving/replica_chooser_test.cc
+++ b/unittests/serving/replica_chooser_test.cc
@@ -106,10 +106,10 @@
 // and against a shard without a replica when all registrations lapse at once.
 TEST_F(ReplicaChooserTest, LapsedReplicaIsUsedLast) {
   AddReplicas();
-  m_set.Remove("a", Millis(0));
+  m_set.Remove("a", Millis(0), Millis(0));
   EXPECT_FALSE(CountChoices(m_chooser, Millis(0)).contains("a"));
-  m_set.Remove("b", Millis(0));
-  m_set.Remove("c", Millis(0));
+  m_set.Remove("b", Millis(0), Millis(0));
+  m_set.Remove("c", Millis(0), Millis(0));
   EXPECT_EQ(CountChoices(m_chooser, Millis(0)).size(), 3u);
 }
 
--- a/unittests/serving/replica_set_test.cc
+++ b/unittests/serving/replica_set_test.cc
@@ -34,10 +34,10 @@
   ReplicaRegistration draining = MakeRegistration("r");
   draining.draining = true;
   m_set.Apply(draining, Millis(0));
-  m_set.Remove("r", Millis(3000));
+  m_set.Remove("r", Millis(3000), Millis(3000));
   m_set.Apply(MakeRegistration("r"), Millis(3500));
   EXPECT_TRUE(m_set.Find("r")->leaving);
-  m_set.Remove("r", Millis(4000));
+  m_set.Remove("r", Millis(4000), Millis(4000));
   ReplicaRegistration other_address = MakeRegistration("r");
   other_address.address = "127.0.0.1:2";
   m_set.Apply(other_address, Millis(5000));
@@ -52,7 +52,7 @@
   m_set.Apply(MakeRegistration("r"), Millis(0));
   const std::shared_ptr<ServingReplica> replica =
       m_set.GetService("s").replicas.front();
-  m_set.Remove("r", Millis(1000));
+  m_set.Remove("r", Millis(1000), Millis(1000));
   m_set.RetireLapsed(Millis(5000));
   ASSERT_EQ(ReplicasInUse(), 0u);
   m_set.MarkLeaving(*replica, "stated_leaving", Millis(5001));
@@ -94,7 +94,7 @@
 TEST_F(ReplicaSetTest, RateLimitIsRememberedAfterTheRemoval) {
   m_set.Apply(MakeRegistration("r"), Millis(0));
   m_set.RecordRateLimit(*m_set.Find("r"), 4, Millis(100));
-  m_set.Remove("r", Millis(1000));
+  m_set.Remove("r", Millis(1000), Millis(1000));
   m_set.RetireLapsed(Millis(5000));
   ASSERT_EQ(ReplicasInUse(), 0u);
   m_set.Apply(MakeRegistration("r"), Millis(100'000));
@@ -110,7 +110,7 @@
   m_set.Apply(MakeRegistration("r"), Millis(0));
   m_set.RecordBackoff(*m_set.Find("r"), Millis(9000), Millis(100));
   m_set.RecordBackoff(*m_set.Find("r"), Millis(1000), Millis(200));
-  m_set.Remove("r", Millis(1000));
+  m_set.Remove("r", Millis(1000), Millis(1000));
   m_set.RetireLapsed(Millis(5000));
   ASSERT_EQ(ReplicasInUse(), 0u);
   m_set.Apply(MakeRegistration("r"), Millis(6000));
@@ -220,7 +220,7 @@
   m_set.Apply(MakeRegistration("gone"), Millis(0));
   m_set.SetStoreReachable(false, Millis(100));
   m_set.SetStoreReachable(true, Millis(5000));
-  m_set.ApplyList({}, Millis(5000));
+  m_set.ApplyList({}, Millis(5000), Millis(5000));
   EXPECT_EQ(ReplicasInUse(), 2u);
   m_set.RetireLapsed(Millis(6900));
   EXPECT_EQ(ReplicasInUse(), 2u);
@@ -236,7 +236,7 @@
   ReplicaRegistration registration = MakeRegistration("r");
   registration.draining = true;
   m_set.Apply(registration, Millis(0));
-  m_set.Remove("r", Millis(10000));
+  m_set.Remove("r", Millis(10000), Millis(10000));
   EXPECT_EQ(ReplicasInUse(), 0u);
 }
 
@@ -247,7 +247,7 @@
   for (const Millis timeout : {Millis(3000), Millis(1000), Millis(400)}) {
     m_set.SetDrainTimeout(timeout);
     m_set.Apply(MakeRegistration("r"), Millis(0));
-    m_set.Remove("r", Millis(10000));
+    m_set.Remove("r", Millis(10000), Millis(10000));
     const Millis propagation_delay =
         timeout * kBatchDelayFraction + Millis(200);
     m_set.RetireLapsed(Millis(10000) +
@@ -256,13 +256,49 @@
   }
 }
 
+// Guards against delays that add up beyond the drain timeout when this VM reads
+// a removal long after another one did.
+TEST_F(ReplicaSetTest, RemovalReadLateIsRetiredWithinTheDrainTimeout) {
+  constexpr Millis kDrainTimeout{3000};
+  m_set.SetDrainTimeout(kDrainTimeout);
+  for (const Millis late : {Millis(0), Millis(1700), Millis(10'000)}) {
+    m_set.Apply(MakeRegistration("r"), Millis(0));
+    // The first VM reads the removal up to one batch after it.
+    const Millis removed_at(20'000);
+    const Millis seen_at = removed_at + kDrainTimeout * kBatchDelayFraction;
+    m_set.Remove("r", seen_at, seen_at + late);
+    m_set.RetireLapsed(std::max(seen_at + late, removed_at + kDrainTimeout));
+    EXPECT_EQ(ReplicasInUse(), 0u) << late.count();
+  }
+}
+
+// Guards against retiring a whole service on stale data after an outage of the
+// store, and against reads for each replica that leaves.
+TEST_F(ReplicaSetTest, LapseOfMostReplicasIsVerified) {
+  for (const char* id : {"a", "b", "c"}) {
+    m_set.Apply(MakeRegistration(id), Millis(0));
+  }
+  m_set.Remove("a", Millis(1000), Millis(2000));
+  EXPECT_FALSE(m_set.ShouldVerifyLapse(Millis(3100)));
+  m_set.Remove("b", Millis(1000), Millis(2000));
+  EXPECT_FALSE(m_set.ShouldVerifyLapse(Millis(2900)));
+  EXPECT_TRUE(m_set.ShouldVerifyLapse(Millis(3100)));
+  EXPECT_FALSE(m_set.ShouldVerifyLapse(Millis(3150)));
+  m_set.Apply(MakeRegistration("b"), Millis(3160));
+  m_set.RetireLapsed(Millis(3300));
+  EXPECT_EQ(ReplicasInUse(), 2u);
+  m_set.Remove("b", Millis(5000), Millis(5000));
+  m_set.Remove("c", Millis(5000), Millis(5000));
+  EXPECT_TRUE(m_set.ShouldVerifyLapse(Millis(7100)));
+}
+
 // Guards against retiring live replicas, with their connections and
 // measurements, after an outage of the store that this VM did not notice
 // because it made no call.
 TEST_F(ReplicaSetTest, UnnoticedStoreOutageKeepsReplicas) {
   m_set.Apply(MakeRegistration("r"), Millis(0));
   const ServingReplica* before = m_set.Find("r");
-  m_set.Remove("r", Millis(10000));
+  m_set.Remove("r", Millis(10000), Millis(10000));
   m_set.RetireLapsed(Millis(11900));
   EXPECT_EQ(ReplicasInUse(), 1u);
   m_set.Apply(MakeRegistration("r"), Millis(12000));
--- a/unittests/state/kind_watcher_test.cc
+++ b/unittests/state/kind_watcher_test.cc
@@ -28,7 +28,9 @@
     hooks.run_after = [this](Millis, std::function<void()> task) {
       m_tasks.push_back(std::move(task));
     };
-    hooks.on_snapshot = [this](const std::vector<StoreObject>& objects) {
+    hooks.on_snapshot = [this](const std::vector<StoreObject>& objects,
+                               uint64_t removal_revision) {
+      m_removal_revision = removal_revision;
       m_objects.clear();
       for (const StoreObject& object : objects) {
         m_objects[object.name] = object.revision;
@@ -37,7 +39,8 @@
     hooks.on_changed = [this](const StoreObject& object) {
       m_objects[object.name] = object.revision;
     };
-    hooks.on_removed = [this](std::string_view name) {
+    hooks.on_removed = [this](std::string_view name, uint64_t revision) {
+      m_removal_revision = revision;
       m_objects.erase(std::string(name));
     };
     hooks.on_lagging = [this](uint64_t applied_revision,
@@ -78,6 +81,7 @@
   std::vector<std::pair<std::string, KindWatcherHooks::PageDone>> m_lists;
   std::vector<std::pair<uint64_t, KindWatcherHooks::EventsDone>> m_watches;
   std::vector<std::function<void()>> m_tasks;
+  uint64_t m_removal_revision = 0;
   /// Parameters of the latest calls.
   Freshness m_list_freshness = Freshness::kLatest;
   WatchRequest m_watch_request;
@@ -243,6 +247,37 @@
   EXPECT_EQ(m_watches.size(), 1u);
 }
 
+// Guards against a wait that begins only when the report arrives, although the
+// change is older: the delays of gossip and of the wait would add up.
+TEST_F(StaleReadsTest, AgeOfAReportCountsTowardsTheWait) {
+  m_stale_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  m_stale_watcher.OnRemoteRevision(12, Millis(5000), Millis(400));
+  EXPECT_EQ(m_watches.size(), 1u);
+  m_stale_watcher.OnRemoteRevision(12, Millis(5350), Millis(750));
+  EXPECT_EQ(m_watches.size(), 2u);
+}
+
+// Guards against a removal that is taken for later than another VM saw it.
+TEST_F(StaleReadsTest, RemovalsHaveARevisionByWhichTheyHappened) {
+  m_stale_watcher.Start();
+  AnswerList(StoreResult::kOk,
+             Page({{"a", 3, {}}, {"b", 4, {}}, {"c", 5, {}}}, 10));
+  EXPECT_EQ(m_removal_revision, 10u);
+  // The event of a deletion may hold the revision of the deletion or that of
+  // the object's last change.
+  AnswerWatch(StoreResult::kOk, {{{{"a", 11, {}}, true}}, 14});
+  EXPECT_EQ(m_removal_revision, 11u);
+  AnswerWatch(StoreResult::kOk, {{{{"b", 4, {}}, true}}, 16});
+  EXPECT_EQ(m_removal_revision, 16u);
+  m_stale_watcher.OnRemoteRevision(20, Millis(0), Millis(900));
+  m_watches.erase(m_watches.begin());
+  AnswerWatch(StoreResult::kOk, {{}, 16});
+  ASSERT_FALSE(m_lists.empty());
+  AnswerList(StoreResult::kOk, Page({}, 30));
+  EXPECT_EQ(m_removal_revision, 20u);
+}
+
 // Fails if a reported change that the latest changes do not contain, because
 // the store lacks it or the report is false, causes no list or more than one.
 TEST_F(StaleReadsTest, MissingChangeCausesOneList) {
