Repeat health probes that are not answered in time

A probe had no timeout: probe_in_flight stays set, TCP has acknowledged the probe, and no other probe is sent. The log has state=unresponsive for these replicas and nothing after it. Ruled out: probes on silent connections, as each probe opens a new one.

Change: a probe is cancelled after 2 s and repeated over a new connection; the time doubles up to 8 s, as a probe waits for a slot like a request. The probe of a retired replica is cancelled too, its connection stayed open for good.

--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -54,6 +54,8 @@
   std::function<void(const RequestReport&)> on_finished;
   /// Sends a health probe to a replica.
   std::function<void(const std::shared_ptr<ServingReplica>&)> probe;
+  /// Ends a health probe that has not been answered in time.
+  std::function<void(ServingReplica&)> cancel_probe;
   /// Called when a replica becomes unresponsive or answers again.
   std::function<void(ServingReplica&, std::string_view reason)>
       on_health_changed;
@@ -66,6 +68,7 @@
   uint64_t retries = 0;
   uint64_t cancelled_attempts = 0;
   uint64_t probes = 0;
+  uint64_t probe_timeouts = 0;
   /// Attempts to replicas that state a rate limit, and the hedges and retries
   /// among them.
   uint64_t rate_limited_attempts = 0;
@@ -279,6 +282,8 @@
   void MarkUnresponsive(ServingReplica& replica,
                         std::string_view reason,
                         Millis now);
+  /// Cancels the replica's health probe if it is not answered in time.
+  void CancelOverdueProbe(ServingReplica& replica, Millis now);
   void MarkResponsive(ServingReplica& replica, Millis now);
   void CancelDueAttempts(Millis now);
   static Millis HedgeDelay(const Request& request, Millis now);
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -106,6 +106,9 @@
   bool unresponsive = false;
   Millis next_probe_at;
   bool probe_in_flight = false;
+  Millis probe_sent_at;
+  /// How long the next probe may take, if probes have gone unanswered.
+  std::optional<Millis> probe_timeout;
   /// A connection was lost with an attempt in flight, and the replica has not
   /// answered since.
   bool connection_lost = false;
--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -96,6 +96,8 @@
         self.platform = platform
         self.port = port
         self.writers = set()
+        # Connections on which nothing is sent any more.
+        self.silent_writers = set()
         self.server = platform.call(self.listen())
 
     async def listen(self):
@@ -115,6 +117,8 @@
                 if request is None:
                     return
                 reply = await self.answer(request)
+                if writer in self.silent_writers:
+                    await asyncio.sleep(3600)
                 if reply is None:
                     return
                 if isinstance(reply, EndlessReply):
@@ -128,6 +132,10 @@
             self.writers.discard(writer)
             writer.transport.abort()
 
+    def silence_connections(self):
+        """Sends nothing more on the connections that are open now."""
+        self.silent_writers = set(self.writers)
+
     def close(self):
         async def stop_server():
             self.server.close()
@@ -329,6 +337,9 @@
         # The address in its registration when that is not its own, such as
         # the one of a link with faults.
         self.public_address = None
+        # How long health checks wait for a slot.
+        self.health_delay_s = 0
+        self.health_checks = 0
         # "good", or the fault of the replies to requests: "silent" sends none,
         # "shed" rejects with 503, "error" returns 500, "reset" closes the
         # connection, "cut" truncates, "extra" adds a stray response, and a key
@@ -391,6 +402,8 @@
 
     async def answer(self, request):
         if request.path == "/healthz":
+            self.health_checks += 1
+            await asyncio.sleep(self.health_delay_s)
             status = 503 if self.mode == "silent" or self.leaving else 200
             return response(status, b"", self.statements())
         if request.headers.get("target-instance") not in (None, self.name):
--- a/lib/serving/dispatcher_attempts.cc
+++ b/lib/serving/dispatcher_attempts.cc
@@ -26,6 +26,13 @@
 /// Interval between health probes of an unresponsive replica.
 constexpr Millis kProbeInterval{500};
 
+/// Time after which an unanswered health probe is cancelled and another one is
+/// sent over a new connection: the connection may have gone silent. The time
+/// doubles with each unanswered probe, because a probe waits for a slot like a
+/// request and would lose its place in a long queue.
+constexpr Millis kMinProbeTimeout{2000};
+constexpr Millis kMaxProbeTimeout{8000};
+
 /// Minimum age at which an attempt on an overdue replica is hedged, as a
 /// multiple of the median latency.
 constexpr double kOverdueHedgeMedians = 0.5;
@@ -336,6 +343,7 @@
                               const ProbeReply& reply,
                               Millis now) {
   replica.probe_in_flight = false;
+  replica.probe_timeout.reset();
   replica.next_probe_at = now + kProbeInterval;
   RecordSelfReport(replica, reply.self_report, now);
   if (reply.healthy) {
@@ -345,6 +353,17 @@
   }
 }
 
+void Dispatcher::CancelOverdueProbe(ServingReplica& replica, Millis now) {
+  const Millis timeout = replica.probe_timeout.value_or(kMinProbeTimeout);
+  if (!replica.probe_in_flight || now - replica.probe_sent_at < timeout) {
+    return;
+  }
+  replica.probe_in_flight = false;
+  replica.probe_timeout = std::min(timeout * 2, kMaxProbeTimeout);
+  ++m_stats.probe_timeouts;
+  m_hooks.cancel_probe(replica);
+}
+
 void Dispatcher::CheckReplicaHealth(Millis now) {
   m_replicas.ForEachService([&](Service& service) {
     for (const auto& replica : service.replicas) {
@@ -352,12 +371,14 @@
           now - *replica->unanswered_since >= replica->unresponsive_timeout) {
         MarkUnresponsive(*replica, "silent", now);
       }
+      CancelOverdueProbe(*replica, now);
       if (!replica->unresponsive || replica->leaving ||
           replica->probe_in_flight || now < replica->next_probe_at ||
           replica->limits->NextRequestAt(now) > now) {
         continue;
       }
       replica->probe_in_flight = true;
+      replica->probe_sent_at = now;
       replica->limits->rate_limiter.UsePermit(now);
       ++m_stats.probes;
       m_hooks.probe(replica);
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -137,6 +137,7 @@
                             .Field("service", replica.registration.service)
                             .Field("reason", reason);
                         m_connections.CloseIdle(replica);
+                        CancelProbes(replica);
                       },
                   .on_added =
                       [](ServingReplica& replica) {
@@ -290,6 +291,12 @@
     m_probes[exchange] = replica;
     m_connections.Start(exchange, replica, EncodeHealthRequest(*replica), true);
   };
+  hooks.cancel_probe = [this](ServingReplica& replica) {
+    LogEvent("probe_timeout")
+        .Field("replica", replica.registration.id)
+        .Field("service", replica.registration.service);
+    CancelProbes(replica);
+  };
   hooks.on_health_changed = [this](ServingReplica& replica,
                                    std::string_view reason) {
     LogEvent("replica_belief")
@@ -377,6 +384,18 @@
   m_dispatcher.OnProbeReply(replica, reply, Poller::Now());
 }
 
+void Node::CancelProbes(ServingReplica& replica) {
+  replica.probe_in_flight = false;
+  std::erase_if(m_probes, [&](const auto& probe) {
+    const auto& [exchange, probed] = probe;
+    if (probed.get() != &replica) {
+      return false;
+    }
+    m_connections.CancelExchange(exchange);
+    return true;
+  });
+}
+
 bool Node::IsReady() const {
   return !m_stopping && m_dispatcher.plan() != nullptr && m_replica_watcher &&
          m_replica_watcher->has_snapshot();
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -72,6 +72,8 @@
   // Replicas.
   void OnExchangeDone(uint64_t exchange, ExchangeResult result);
   void OnProbeDone(uint64_t exchange, const ExchangeResult& result);
+  /// Closes the connections of the replica's health probes.
+  void CancelProbes(ServingReplica& replica);
 
   // The store.
   void ApplyConfigObject(const StoreObject& object);
--- a/tools/tanagervane-node/node_metrics.cc
+++ b/tools/tanagervane-node/node_metrics.cc
@@ -21,6 +21,9 @@
               dispatcher.cancelled_attempts);
   set_counter("tanagervane_health_probes_total", "Health probes.",
               dispatcher.probes);
+  set_counter("tanagervane_health_probe_timeouts_total",
+              "Health probes without an answer in time.",
+              dispatcher.probe_timeouts);
   set_counter("tanagervane_rate_limited_sends_total",
               "Sends to replicas that state a rate limit.",
               dispatcher.rate_limited_attempts);
--- a/unittests/serving/dispatcher_harness.h
+++ b/unittests/serving/dispatcher_harness.h
@@ -137,6 +137,7 @@
   std::vector<FinalAnswer> answers;
   Millis last_answer_at;
   std::vector<std::shared_ptr<ServingReplica>> probes;
+  size_t cancelled_probes = 0;
   size_t reports = 0;
   RequestKey last_key = 0;
   Quarantine quarantine{true, 3};
@@ -160,6 +161,7 @@
     hooks.probe = [this](const std::shared_ptr<ServingReplica>& replica) {
       probes.push_back(replica);
     };
+    hooks.cancel_probe = [this](ServingReplica&) { ++cancelled_probes; };
     hooks.on_health_changed = [](ServingReplica&, std::string_view) {};
     return hooks;
   }
--- a/unittests/serving/dispatcher_test.cc
+++ b/unittests/serving/dispatcher_test.cc
@@ -2,6 +2,7 @@
 
 #include "dispatcher_harness.h"
 
+#include <algorithm>
 #include <set>
 
 #include "gtest/gtest.h"
@@ -393,6 +394,26 @@
   EXPECT_FALSE(unresponsive_replica->unresponsive);
 }
 
+// Guards against a replica that is never used again because the connection of
+// a health probe has gone silent.
+TEST(DispatcherTest, UnansweredProbeIsRepeated) {
+  Harness h;
+  h.Submit("/all/x");
+  ServingReplica& replica = *h.PopSentAttempts().back().replica;
+  for (int step = 0; step < 45; ++step) {
+    h.Advance(Millis(100));
+    h.dispatcher.CheckReplicaHealth(h.now);
+  }
+  ASSERT_TRUE(replica.unresponsive);
+  const auto probes = std::ranges::count_if(
+      h.probes, [&](const auto& probed) { return probed.get() == &replica; });
+  EXPECT_EQ(probes, 2);
+  EXPECT_GE(h.cancelled_probes, 1u);
+  h.dispatcher.OnProbeReply(replica, {.healthy = true, .self_report = {}},
+                            h.now);
+  EXPECT_FALSE(replica.unresponsive);
+}
+
 // Guards against cancelling the attempt whose reply would show that a paused
 // replica works again, when the pause is shorter than the unresponsive timeout.
 // The replica would stay unused and then be probed over a new connection.
--- a/unittests/serving/overload_simulation.h
+++ b/unittests/serving/overload_simulation.h
@@ -184,6 +184,7 @@
     hooks.answer = [this](const FinalAnswer& answer) { RecordAnswer(answer); };
     hooks.on_finished = [](const RequestReport&) {};
     hooks.probe = [](const std::shared_ptr<ServingReplica>&) {};
+    hooks.cancel_probe = [](ServingReplica&) {};
     hooks.on_health_changed = [](ServingReplica&, std::string_view) {};
     return hooks;
   }
