Refuse requests that may outlast a graceful stop

The admission did not know the time of the stop. The process also ended in the turn of the loop that queued the last answers.

Change: from SIGTERM on, requests that may not be answered before the stop are refused at once as not run: those that are not idempotent by all of their time, others by their objective. Up to 0.3 s of the reserve serve to write the last answers.

--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -104,6 +104,10 @@
   /// shortly after the request's deadline.
   void Cancel(RequestKey key, Millis now);
 
+  /// Sets when Stop() will be called. Requests that may not be answered by then
+  /// are refused on arrival, so that another VM takes them.
+  void SetStopDeadline(Millis deadline) { m_stop_deadline = deadline; }
+
   /// Answers all running requests because the process stops.
   void Stop(Millis now);
 
@@ -278,6 +282,10 @@
                   const Attempt& attempt,
                   ReplicaReply reply,
                   Millis now);
+  /// Whether a request of this route can be answered before the process stops.
+  bool MayFinishBeforeStop(const RouteSpec& route,
+                           Millis time_left,
+                           Millis now) const;
   void MarkOverdue(ServingReplica& replica, Millis now);
   void MarkUnresponsive(ServingReplica& replica,
                         std::string_view reason,
@@ -308,6 +316,7 @@
   uint64_t m_last_attempt_id = 0;
   std::set<std::pair<double, RequestKey>> m_timers;
   std::set<std::pair<double, uint64_t>> m_cancel_timers;
+  std::optional<Millis> m_stop_deadline;
 };
 
 }  // namespace tanagervane
--- a/integration/test_platform.py
+++ b/integration/test_platform.py
@@ -110,6 +110,26 @@
                          "fault %s: the new version is in force" % fault, 3)
             store.omit_events = False
 
+    def test_orders_late_in_a_graceful_stop(self):
+        """Guards against orders that are taken late in the grace time of a
+        stop, reach a replica and are cut at its end."""
+        slow_routes = routes()
+        for route in slow_routes:
+            route["timeoutMs"] = 5000
+        self.platform.configure(slow_routes)
+        desk = self.platform.replicas["desk"]
+        for replica in desk:
+            replica.work_ms = 2300
+        self.start_nodes(1)
+        node = self.nodes[-1]
+        node.process.send_signal(signal.SIGTERM)
+        time.sleep(0.6)
+        reply = call_node(node, "/one/x", "POST", b"x", deadline=4000)
+        ran = [id_ for replica in desk for id_ in replica.ran]
+        self.assertEqual(reply.status, 503)
+        self.assertLess(reply.seconds, 0.3)
+        self.assertNotIn(reply.id, ran)
+
     def test_graceful_stop(self):
         """Guards against requests that a graceful stop cuts, and against a
         directory that still lists the stopping node."""
--- a/lib/serving/dispatcher_admission.cc
+++ b/lib/serving/dispatcher_admission.cc
@@ -70,6 +70,11 @@
            kShortRetryAfter, route);
     return;
   }
+  if (!MayFinishBeforeStop(spec, time_left, now)) {
+    Refuse(key, *caller_request, AnswerKind::kRefused, AnswerReason::kStopping,
+           kShortRetryAfter, route);
+    return;
+  }
   std::unique_ptr<Request> request =
       MakeRequest(key, *route, *caller_request, time_left, now);
   if (m_quarantine.Check(request->fingerprint, now) ==
@@ -100,6 +105,16 @@
   Advance(running, now);
 }
 
+bool Dispatcher::MayFinishBeforeStop(const RouteSpec& route,
+                                     Millis time_left,
+                                     Millis now) const {
+  // A request that is not idempotent cannot be repeated after a cut, so all of
+  // its time must be left.
+  const Millis needed =
+      route.idempotent ? std::min(route.objective, time_left) : time_left;
+  return !m_stop_deadline || now + needed <= *m_stop_deadline;
+}
+
 std::unique_ptr<Dispatcher::Request> Dispatcher::MakeRequest(
     RequestKey key,
     PlannedRoute& route,
--- a/tools/tanagervane-node/node_lifecycle.cc
+++ b/tools/tanagervane-node/node_lifecycle.cc
@@ -15,8 +15,10 @@
 /// Time for gossip to tell the other VMs to stop giving out the address of a
 /// leaving VM.
 constexpr Millis kLeaveGossipDelay{400};
-/// Time that is kept in reserve at the end of the stop grace time.
+/// Time at the end of the stop grace time in which the last answers are
+/// written, and how much of it is used.
 constexpr Millis kStopMargin{400};
+constexpr Millis kMaxFlushTime{300};
 constexpr Millis kStopPollInterval{40};
 
 }  // namespace
@@ -51,6 +53,7 @@
   LogEvent("stopping")
       .Field("running", m_dispatcher.running_requests())
       .Field("grace_ms", m_settings.stop_grace.count());
+  m_dispatcher.SetStopDeadline(m_stop_deadline);
   m_peers.SetState(PeerState::kLeaving);
   m_gossip.Announce(now);
   m_caller_listener.CloseAfterResponses();
@@ -72,7 +75,8 @@
   if (now >= m_stop_deadline) {
     m_dispatcher.Stop(now);
   }
-  if (m_caller_listener.pending() == 0 || now >= m_stop_deadline) {
+  if (m_caller_listener.pending() == 0 ||
+      now >= m_stop_deadline + kMaxFlushTime) {
     m_loop.Quit();
   }
 }
--- a/unittests/serving/dispatcher_test.cc
+++ b/unittests/serving/dispatcher_test.cc
@@ -394,6 +394,25 @@
   EXPECT_FALSE(unresponsive_replica->unresponsive);
 }
 
+// Guards against requests that are taken late in the grace time of a stop and
+// cut at its end, although another VM could have run them.
+TEST(DispatcherTest, RequestThatMayOutlastTheStopIsRefused) {
+  Harness h;
+  h.dispatcher.SetStopDeadline(h.now + Millis(500));
+  h.Submit("/one/x", Millis(600));
+  ASSERT_EQ(h.answers.size(), 1u);
+  EXPECT_EQ(h.answers[0].kind, AnswerKind::kRefused);
+  EXPECT_EQ(h.answers[0].reason, AnswerReason::kStopping);
+  EXPECT_TRUE(h.PopSentAttempts().empty());
+  h.Submit("/one/x", Millis(400));
+  h.Submit("/all/x", Millis(1000));
+  EXPECT_EQ(h.PopSentAttempts().size(), 1 + Harness::kShards);
+  h.Advance(Millis(350));
+  h.PopSentAttempts();
+  h.Submit("/all/x", Millis(1000));
+  EXPECT_TRUE(h.PopSentAttempts().empty());
+}
+
 // Guards against a replica that is never used again because the connection of
 // a health probe has gone silent.
 TEST(DispatcherTest, UnansweredProbeIsRepeated) {
