Spread the permits of rate-limited replicas evenly over the VMs

Change: the phase follows from the VM's rank among the live ones by id, with a start that differs for each replica, and counts from the replica's statement and not from the time at which the VM heard of it. The test now takes the phases from RequestLimitTable, with VMs that learn of the limit up to a second late; the bound is the same.

--- a/include/tanagervane/serving/rate_limiter.h
+++ b/include/tanagervane/serving/rate_limiter.h
@@ -21,13 +21,10 @@
   /// Records the limit that the replica stated at `stated_at`, in requests per
   /// second from all VMs; nullopt when it stated none. A statement that is
   /// older than the known one is ignored. The first permit of a new limit is
-  /// granted after the fraction `phase` of the permit interval; it should be
-  /// random, so that VMs that learn of the limit together do not send together.
-  /// Returns whether the limit in force changed.
-  bool Record(std::optional<double> per_second,
-              Millis stated_at,
-              double phase,
-              Millis now);
+  /// granted after the fraction `phase` of the permit interval from
+  /// `stated_at`. The phases of the VMs should be spread evenly, so that their
+  /// permits do not coincide. Returns whether the limit in force changed.
+  bool Record(std::optional<double> per_second, Millis stated_at, double phase);
 
   /// The limit in force.
   const std::optional<double>& limit() const { return m_limit; }
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -145,7 +145,7 @@
 /// Keeps the replicas of all services in step with their registrations.
 class ReplicaSet {
  public:
-  /// `seed` must differ between VMs; see RateLimiter::Record().
+  /// `seed` must differ between VMs; see RequestLimitTable.
   explicit ReplicaSet(ReplicaSetHooks hooks, uint64_t seed = 1)
       : m_hooks(std::move(hooks)), m_limits(seed) {}
 
@@ -160,6 +160,10 @@
   /// budgets, and the limits of the budgets.
   void SetFleetSize(size_t vm_count, const RetryLimits& limits);
 
+  /// Sets the number of VMs of the fleet that come before this one in the order
+  /// of their ids.
+  void SetRank(size_t rank) { m_limits.SetRank(rank); }
+
   /// Applies one registration: a new replica, a new incarnation or a change.
   void Apply(const ReplicaRegistration& registration, Millis now);
 
--- a/include/tanagervane/serving/request_limits.h
+++ b/include/tanagervane/serving/request_limits.h
@@ -48,12 +48,17 @@
 /// because a late heartbeat may restore the registration.
 class RequestLimitTable {
  public:
-  /// `seed` must differ between VMs; see RateLimiter::Record().
-  explicit RequestLimitTable(uint64_t seed) : m_random(seed) {}
+  /// `seed` must differ between VMs; see PhaseOf().
+  explicit RequestLimitTable(uint64_t seed)
+      : m_rank_offset(Random(seed).NextDouble()) {}
 
   /// Sets the fraction of each rate limit that this VM may use.
   void SetShare(double share);
 
+  /// Sets the number of VMs of the fleet that come before this one in the order
+  /// of their ids.
+  void SetRank(size_t rank) { m_rank = rank; }
+
   /// Returns the limits of the incarnation: the same object for as long as
   /// somebody holds it, and for a long time after that.
   std::shared_ptr<RequestLimits> Get(IncarnationHash incarnation, Millis now);
@@ -75,13 +80,21 @@
   void Expire(Millis now);
 
  private:
+  /// The phase of this VM's permits for a replica; see RateLimiter::Record().
+  /// Each VM has a part of the permit interval of its own, in the order of the
+  /// ranks. The order begins elsewhere for each replica.
+  double PhaseOf(IncarnationHash incarnation) const;
+
   struct Entry {
     std::shared_ptr<RequestLimits> limits;
     Millis last_used_at;
   };
 
-  Random m_random;
   double m_share = 1;
+  size_t m_rank = 0;
+  /// Fraction of this VM's part of the interval after which its permit is. It
+  /// separates VMs that disagree about their ranks.
+  double m_rank_offset;
   std::unordered_map<IncarnationHash, Entry> m_entries;
   Millis m_next_expiry;
   /// Incarnations with a recent statement about their rate limit.
--- a/lib/serving/rate_limiter.cc
+++ b/lib/serving/rate_limiter.cc
@@ -28,8 +28,7 @@
 
 bool RateLimiter::Record(std::optional<double> per_second,
                          Millis stated_at,
-                         double phase,
-                         Millis now) {
+                         double phase) {
   if (stated_at < m_stated_at) {
     return false;
   }
@@ -40,7 +39,7 @@
   const bool is_new = !m_limit;
   m_limit = per_second;
   if (m_limit && is_new) {
-    m_used_permit_at = now - Interval() * (1 - phase);
+    m_used_permit_at = stated_at - Interval() * (1 - phase);
   }
   return true;
 }
--- a/lib/serving/request_limits.cc
+++ b/lib/serving/request_limits.cc
@@ -1,6 +1,7 @@
 #include "tanagervane/serving/request_limits.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "tanagervane/serving/self_report.h"
 
@@ -19,6 +20,13 @@
   }
 }
 
+double RequestLimitTable::PhaseOf(IncarnationHash incarnation) const {
+  const double start = std::ldexp(static_cast<double>(incarnation), -64);
+  const double phase =
+      start + (static_cast<double>(m_rank) + m_rank_offset) * m_share;
+  return phase - std::floor(phase);
+}
+
 std::shared_ptr<RequestLimits> RequestLimitTable::Get(
     IncarnationHash incarnation,
     Millis now) {
@@ -41,7 +49,7 @@
   }
   m_recent.insert(incarnation);
   return Get(incarnation, now)
-      ->rate_limiter.Record(per_second, stated_at, m_random.NextDouble(), now);
+      ->rate_limiter.Record(per_second, stated_at, PhaseOf(incarnation));
 }
 
 std::vector<RateLimitReport> RequestLimitTable::RecentRateLimits(
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -293,6 +293,11 @@
       std::ranges::count_if(peers, [](const PeerTable::Peer& peer) {
         return peer.liveness != Liveness::kDead;
       }));
+  m_replicas.SetRank(static_cast<size_t>(
+      std::ranges::count_if(peers, [this](const PeerTable::Peer& peer) {
+        return peer.liveness != Liveness::kDead &&
+               peer.record.id < m_settings.id;
+      })));
   view.listed = m_registry.listed_count();
   view.gossip_converged = now - m_started_at >= kGossipConvergenceTime;
   const bool watches_latest = now - m_started_at >= kWatchRoleDelay &&
--- a/unittests/serving/rate_limiter_test.cc
+++ b/unittests/serving/rate_limiter_test.cc
@@ -1,6 +1,7 @@
 // Tests of the pacing of requests to replicas that state a rate limit.
 
 #include "tanagervane/serving/rate_limiter.h"
+#include "tanagervane/serving/request_limits.h"
 
 #include <algorithm>
 #include <vector>
@@ -17,7 +18,7 @@
 RateLimiter MakeLimiter(double per_second, double share, double phase = 0) {
   RateLimiter limiter;
   limiter.SetShare(share);
-  limiter.Record(per_second, Millis(0), phase, Millis(0));
+  limiter.Record(per_second, Millis(0), phase);
   return limiter;
 }
 
@@ -84,10 +85,10 @@
 // newer one.
 TEST(RateLimiterTest, OlderStatementIsIgnored) {
   RateLimiter limiter = MakeLimiter(40, 1);
-  EXPECT_TRUE(limiter.Record(std::nullopt, Millis(100), 0, Millis(100)));
-  EXPECT_FALSE(limiter.Record(40, Millis(90), 0, Millis(110)));
+  EXPECT_TRUE(limiter.Record(std::nullopt, Millis(100), 0));
+  EXPECT_FALSE(limiter.Record(40, Millis(90), 0));
   EXPECT_FALSE(limiter.limit());
-  EXPECT_FALSE(limiter.Record(std::nullopt, Millis(120), 0, Millis(120)));
+  EXPECT_FALSE(limiter.Record(std::nullopt, Millis(120), 0));
 }
 
 // Guards against permits that are granted anew with each changed statement.
@@ -96,7 +97,7 @@
   size_t used = 0;
   for (Millis now(0); now < Millis(10'000); now += Millis(5)) {
     const double per_second = 1 + 1e-6 * now.count();
-    limiter.Record(per_second, now, 0, now);
+    limiter.Record(per_second, now, 0);
     used += UseAll(limiter, now);
   }
   EXPECT_LE(used, 11u);
@@ -119,11 +120,15 @@
 RC_GTEST_PROP(RateLimiterProperty, FleetKeepsTheLimit, ()) {
   const auto vms = *rc::gen::inRange<size_t>(1, 100);
   const double limit = *rc::gen::inRange(20, 1000) / 10.0;
+  const auto replica = *rc::gen::arbitrary<IncarnationHash>();
   Random random(*rc::gen::arbitrary<uint32_t>());
-  std::vector<RateLimiter> limiters;
-  for (size_t i = 0; i < vms; ++i) {
-    limiters.push_back(MakeLimiter(limit, 1.0 / static_cast<double>(vms),
-                                   random.NextDouble()));
+  std::vector<RequestLimitTable> tables;
+  std::vector<Millis> learns_at;
+  for (size_t rank = 0; rank < vms; ++rank) {
+    tables.emplace_back(random.NextBelow(1 << 30));
+    tables.back().SetShare(1.0 / static_cast<double>(vms));
+    tables.back().SetRank(rank);
+    learns_at.emplace_back(1000 * random.NextDouble());
   }
   std::vector<Millis> sent;
   bool burst = true;
@@ -131,8 +136,13 @@
     if (random.NextBelow(40) == 0) {
       burst = !burst;
     }
-    for (RateLimiter& limiter : limiters) {
-      const size_t used = burst ? UseAll(limiter, now) : 0;
+    for (size_t vm = 0; vm < vms; ++vm) {
+      if (now < learns_at[vm]) {
+        continue;
+      }
+      tables[vm].RecordRateLimit(replica, limit, Millis(0), now);
+      const size_t used =
+          burst ? UseAll(tables[vm].Get(replica, now)->rate_limiter, now) : 0;
       sent.insert(sent.end(), used, now);
     }
   }
