Read each entry of the store on its own

The response of the store was parsed as one value, so such an entry discarded the page of a list or all events of a watch, and the list that followed failed the same way.

Change: name, revision and content of each entry are parsed separately. One with unreadable content names no replica, one without a readable name is left out.

--- a/include/tanagervane/state/store_types.h
+++ b/include/tanagervane/state/store_types.h
@@ -63,6 +63,8 @@
   bool has_more = false;
   /// The store's revision when the page was read.
   uint64_t revision = 0;
+  /// Why elements of the page were left out: their names cannot be read.
+  std::vector<absl::Status> unreadable = {};
 };
 
 struct StoreEvent {
@@ -74,6 +76,8 @@
   std::vector<StoreEvent> events;
   /// The revision from which the next watch continues.
   uint64_t revision = 0;
+  /// Why events were left out: the names of their objects cannot be read.
+  std::vector<absl::Status> unreadable = {};
 };
 
 }  // namespace tanagervane
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -25,6 +25,7 @@
 #include "tanagervane/state/entry_directory.h"
 #include "tanagervane/state/kind_watcher.h"
 #include "tanagervane/state/peer_table.h"
+#include "tanagervane/state/rejected_entries.h"
 #include "tanagervane/state/revision_times.h"
 #include "tools/tanagervane-node/request_log.h"
 #include "tools/tanagervane-node/settings.h"
@@ -124,6 +125,9 @@
   /// seen in the fleet.
   RevisionTimes m_config_times;
   RevisionTimes m_replica_times;
+  RejectedEntries m_rejected_configs;
+  RejectedEntries m_rejected_replicas;
+  RejectedEntries m_rejected_vms;
   /// By key of a running request: the id that its caller gave and that the
   /// answer echoes.
   std::unordered_map<RequestKey, std::string> m_request_ids;
--- a/tools/tanagervane-node/node_metrics.cc
+++ b/tools/tanagervane-node/node_metrics.cc
@@ -36,6 +36,10 @@
               m_store->stats().calls);
   set_counter("tanagervane_store_failures_total", "Calls without an answer.",
               m_store->stats().failures);
+  set_counter("tanagervane_store_entries_rejected_total",
+              "Changes of entries of the store that cannot be used.",
+              m_rejected_configs.total() + m_rejected_replicas.total() +
+                  m_rejected_vms.total());
   const auto set_gauge = [&](std::string_view name, std::string_view help,
                              double value) {
     metrics.GetGauge(name, help).Set(value);
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -23,16 +23,20 @@
 constexpr Millis kWatchRoleDelay{4000};
 
 void LogRejected(std::string_view event,
-                 std::string_view name,
-                 const absl::Status& status) {
-  const auto message = status.message();
+                 const StoreObject& object,
+                 const absl::Status& status,
+                 RejectedEntries& rejected) {
+  if (!rejected.Add(object.name, object.revision)) {
+    return;
+  }
   LogEvent(event)
-      .Field("object", name)
+      .Field("object", object.name)
+      .Field("revision", object.revision)
       .Field("path", GetErrorPath(status))
-      .Field("reason", std::string_view(message.data(), message.size()));
+      .Field("reason", GetErrorMessage(status));
 }
 
-ListedVmPage ReadVmPage(const StorePage& page) {
+ListedVmPage ReadVmPage(const StorePage& page, RejectedEntries& rejected) {
   ListedVmPage result;
   result.has_more = page.has_more;
   for (const StoreObject& object : page.objects) {
@@ -41,7 +45,7 @@
     if (address.ok()) {
       result.vms.push_back({object.name, *std::move(address)});
     } else {
-      LogRejected("vm_entry_invalid", object.name, address.status());
+      LogRejected("vm_entry_invalid", object, address.status(), rejected);
     }
   }
   return result;
@@ -186,7 +190,7 @@
   }
   const auto config = DecodeConfig(object);
   if (!config.ok()) {
-    LogRejected("config_invalid", object.name, config.status());
+    LogRejected("config_invalid", object, config.status(), m_rejected_configs);
     return;
   }
   if (!m_dispatcher.ApplyConfig(*config)) {
@@ -209,7 +213,8 @@
     m_replicas.Apply(*registration, now);
     return;
   }
-  LogRejected("replica_entry_invalid", object.name, registration.status());
+  LogRejected("replica_entry_invalid", object, registration.status(),
+              m_rejected_replicas);
   m_replicas.Remove(object.name, now, now);
 }
 
@@ -221,7 +226,8 @@
     if (registration.ok()) {
       registrations.push_back(*std::move(registration));
     } else {
-      LogRejected("replica_entry_invalid", object.name, registration.status());
+      LogRejected("replica_entry_invalid", object, registration.status(),
+                  m_rejected_replicas);
     }
   }
   const Millis now = Poller::Now();
@@ -259,11 +265,11 @@
   };
   hooks.list = [this](std::string_view after, Freshness freshness,
                       VmRegistryHooks::PageDone done) {
-    m_store->List(
-        StoreKind::kVms, after, freshness,
-        [done = std::move(done)](StoreResult result, const StorePage& page) {
-          done(result, ReadVmPage(page));
-        });
+    m_store->List(StoreKind::kVms, after, freshness,
+                  [this, done = std::move(done)](StoreResult result,
+                                                 const StorePage& page) {
+                    done(result, ReadVmPage(page, m_rejected_vms));
+                  });
   };
   hooks.run_after = [this](Millis delay, std::function<void()> task) {
     m_loop.RunAfter(delay, std::move(task));
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -136,6 +136,74 @@
   }
 }
 
+// Guards against an entry of another writer that cannot be read and hides the
+// entries beside it.
+TEST(StoreCodecTest, UnreadableEntryIsInvalidAlone) {
+  for (const char* value :
+       {"1e999", "\"\xff\xfe\"", R"("\ud800")", "tru", "\"\n\"", R"("\x")"}) {
+    const std::string content =
+        std::string(R"({"service":"s","version":)") + value + "}";
+    const auto page = DecodePage(PageWithContent(content));
+    ASSERT_TRUE(page.ok()) << value;
+    ASSERT_EQ(page->objects.size(), 2u);
+    EXPECT_EQ(page->objects[0].revision, 3u);
+    EXPECT_FALSE(DecodeReplica(page->objects[0]).ok()) << value;
+    EXPECT_TRUE(DecodeReplica(page->objects[1]).ok());
+  }
+}
+
+// Guards against an entry without a readable name that hides the others.
+TEST(StoreCodecTest, EntryWithoutReadableNameIsLeftOut) {
+  const std::string valid = R"({"meta":{"name":"b","rev":4}})";
+  for (const char* entry :
+       {"null", "{}", R"({"meta":[]})", R"({"meta":{"rev":1}})",
+        "{\"meta\":{\"name\":\"\xff\",\"rev\":1}}",
+        R"({"meta":{"name":"a","rev":1e300}})"}) {
+    const auto page = DecodePage(R"({"at":9,"items":[)" + std::string(entry) +
+                                 "," + valid + "]}");
+    ASSERT_TRUE(page.ok()) << entry;
+    EXPECT_EQ(page->unreadable.size(), 1u) << entry;
+    ASSERT_EQ(page->objects.size(), 1u) << entry;
+    const auto events =
+        DecodeEvents(R"({"at":9,"events":[{"object":)" + std::string(entry) +
+                     R"(},{"object":)" + valid + "}]}");
+    ASSERT_TRUE(events.ok()) << entry;
+    EXPECT_EQ(events->unreadable.size(), 1u) << entry;
+    EXPECT_EQ(events->events.size(), 1u) << entry;
+  }
+}
+
+// Guards against metadata of another writer that hides the object's name.
+TEST(StoreCodecTest, OtherMetadataIsNotRead) {
+  const auto page = DecodePage(
+      R"({"at":9,"items":[{"meta":{"finalizers":[1e999],"name":"a"}}]})");
+  ASSERT_TRUE(page.ok());
+  EXPECT_EQ(page->objects.size(), 1u);
+}
+
+// Guards against numbers that overflow the types that hold them.
+TEST(StoreCodecTest, NumbersOutOfRangeAreRejected) {
+  for (const char* field : {"concurrencyLimit", "born", "warmupLeftMs"}) {
+    for (const double value : {1e25, 1e300, -1.0}) {
+      json spec = ReplicaJson();
+      spec[field] = value;
+      EXPECT_FALSE(DecodeReplica({"i", 1, spec}).ok()) << field << value;
+    }
+  }
+  for (const char* field : {"attempts", "topK", "timeoutMs", "priority"}) {
+    json spec = ConfigJson();
+    spec["routes"][0][field] = 1e25;
+    EXPECT_FALSE(DecodeConfig({"main", 1, spec}).ok()) << field;
+  }
+  for (const char* at : {"1e300", "-1", "null", "\"1\""}) {
+    const std::string body =
+        R"({"items":[],"events":[],"at":)" + std::string(at) + "}";
+    EXPECT_FALSE(DecodePage(body).ok()) << at;
+    EXPECT_FALSE(DecodeEvents(body).ok()) << at;
+  }
+  EXPECT_FALSE(DecodePage(R"({"items":[]})").ok());
+}
+
 // A corrupt response of the store must not crash the process.
 RC_GTEST_PROP(StoreCodecProperty, CorruptBodiesDoNotCrash, ()) {
   std::string text = R"({"items":[{"meta":{"name":"a","rev":3},"spec":)" +
