--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -342,7 +342,9 @@
         self.health_checks = 0
         # "good", or the fault of the replies to requests: "silent" sends none,
         # "shed" rejects with 503, "error" returns 500, "reset" closes the
-        # connection, "cut" truncates, "extra" adds a stray response, and a key
+        # connection, "cut" truncates, "extra" adds a stray response,
+        # "late_rejection" sends a rejection without an id before its own
+        # response, as a late copy of the answer to a health check, and a key
         # of ENDLESS sends that endless reply.
         self.mode = "good"
         super().__init__(platform)
@@ -436,6 +438,8 @@
         if self.mode == "cut":
             self.platform.loop.call_soon(self.abort_all)
             return reply[:-20]
+        if self.mode == "late_rejection":
+            return response(503, b"", [("Not-Executed", "1")]) + reply
         if self.mode == "extra":
             return reply + response(200, b"stray", [
                 ("Request-Id", "another"), ("Server-Seal", "stray")])
--- a/integration/test_hostile_peers.py
+++ b/integration/test_hostile_peers.py
@@ -68,6 +68,20 @@
             self.check_merged(call_node(self.node, "/all/x"))
         self.assertLess(memory_mb(self.node), MAX_MEMORY_MB)
 
+    def test_late_rejection_without_an_id(self):
+        """Guards against an order that runs twice because a late copy of a
+        rejected health check is taken for its rejection."""
+        desk = self.platform.replicas["desk"]
+        for replica in desk:
+            replica.mode = "late_rejection"
+        ids = []
+        for _ in range(6):
+            reply = call_node(self.node, "/one/x", "POST", b"x")
+            self.assertEqual(reply.status, 200)
+            ids.append(reply.id)
+        ran = [id_ for replica in desk for id_ in replica.ran]
+        self.assertEqual(sorted(ran), sorted(ids))
+
     def test_store_sends_endless_replies(self):
         """Guards against unbounded memory when the store sends endless replies,
         and against changes that are missed after it has recovered."""
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -344,6 +344,19 @@
   EXPECT_FALSE(encoded.response_matches(other));
 }
 
+// Guards against a late copy of the answer to a health check, which has no id,
+// that is taken for the answer to a request.
+TEST_F(ReplyTest, ResponseWithoutAnIdAnswersNoRequestThatHasOne) {
+  OutgoingAttempt attempt;
+  attempt.request = std::make_shared<const CallerRequest>(
+      *DecodeCallerRequest(MakeRequest()));
+  attempt.replica = std::make_shared<ServingReplica>();
+  HttpResponseMessage without_id;
+  without_id.status = 503;
+  without_id.fields.Add("Not-Executed", "1");
+  EXPECT_FALSE(EncodeAttempt(attempt).response_matches(without_id));
+}
+
 TEST_F(ReplyTest, HealthRequiresMatchingInstanceId) {
   ServingReplica replica;
   replica.registration.id = "i-1";
