Check the length of a message before memory is reserved for it

Cause: a replica that states a Content-Length of 2^63 - 1 ended the process with std::bad_alloc, and with it the requests of all other callers. An eager parser of Boost.Beast goes on after a header whose length exceeds the body limit and reserves that many bytes; where the address space is limited, any length above the limit does.

Change: the parsers are not eager, so the error of the limit ends the parsing.

Measured: HugeLengthsAreRejected and, with the new endless replies, test_all_replicas_of_a_service_send_endless_replies fail without the change; the http tests pass with it.

--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -83,6 +83,17 @@
     "endless_chunk": EndlessReply(
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
         b"x" * 4096),
+    "endless_chunks": EndlessReply(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+    "endless_trailer": EndlessReply(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X: y\r\n" * 600),
+    "endless_length": EndlessReply(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775807\r\n\r\n",
+        b"x" * 4096),
+    "endless_responses": EndlessReply(
+        b"", b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody" * 90),
     "slow_head": EndlessReply(b"HTTP/1.1 200 OK\r\nX: ", b"x", 0.02),
     "slow_body": EndlessReply(b"HTTP/1.1 200 OK\r\n\r\n", b"x", 0.02),
 }
--- a/lib/http/reader.cc
+++ b/lib/http/reader.cc
@@ -34,7 +34,9 @@
 }
 
 /// Passes `buffer` to the parser until the message ends, an error occurs or
-/// more bytes are needed. Removes the parsed bytes.
+/// more bytes are needed. Removes the parsed bytes. The parser must not be
+/// eager: an eager one goes on after a header whose Content-Length exceeds the
+/// body limit, and allocates that many bytes.
 template <typename BeastParser>
 boost::beast::error_code ParseAvailable(BeastParser& parser,
                                         std::string& buffer) {
@@ -76,7 +78,6 @@
     m_parser = std::make_unique<Parser>();
     m_parser->beast.header_limit(static_cast<uint32_t>(m_limits.header_bytes));
     m_parser->beast.body_limit(m_limits.body_bytes);
-    m_parser->beast.eager(true);
   }
   m_in_message = true;
   auto& beast = m_parser->beast;
@@ -161,7 +162,6 @@
       auto& beast = m_parser->beast;
       beast.header_limit(static_cast<uint32_t>(m_limits.header_bytes));
       beast.body_limit(m_limits.body_bytes);
-      beast.eager(true);
       beast.skip(m_is_head_request);
     }
     auto& beast = m_parser->beast;
--- a/unittests/http/reader_test.cc
+++ b/unittests/http/reader_test.cc
@@ -49,6 +49,34 @@
                                                      : 0;
 }
 
+// Guards against a length that is allocated before it is checked: the process
+// would end for lack of memory.
+TEST(ReaderTest, HugeLengthsAreRejected) {
+  for (const char* length :
+       {"65", "4000000000", "9223372036854775807", "18446744073709551615"}) {
+    const std::string field =
+        std::string("Content-Length: ") + length + "\r\n\r\nbody";
+    HttpResponseReader response(kLimits, false);
+    std::string bytes = "HTTP/1.1 200 OK\r\n" + field;
+    EXPECT_EQ(response.Parse(bytes), ReadState::kInvalid) << length;
+    HttpRequestReader request(kLimits);
+    bytes = "POST / HTTP/1.1\r\nHost: h\r\n" + field;
+    EXPECT_EQ(request.Parse(bytes), ReadState::kInvalid) << length;
+    EXPECT_EQ(request.error_status(), 413u) << length;
+  }
+  for (const char* size : {"41", "ffffffff", "7fffffffffffffff",
+                           "ffffffffffffffff", "fffffffffffffffffff"}) {
+    const std::string chunk =
+        std::string("Transfer-Encoding: chunked\r\n\r\n") + size + "\r\nbody";
+    HttpResponseReader response(kLimits, false);
+    std::string bytes = "HTTP/1.1 200 OK\r\n" + chunk;
+    EXPECT_EQ(response.Parse(bytes), ReadState::kInvalid) << size;
+    HttpRequestReader request(kLimits);
+    bytes = "POST / HTTP/1.1\r\nHost: h\r\n" + chunk;
+    EXPECT_EQ(request.Parse(bytes), ReadState::kInvalid) << size;
+  }
+}
+
 // Guards against request smuggling: a request hidden in the body of another.
 TEST(RequestReaderTest, AmbiguousFramingIsRejected) {
   EXPECT_EQ(ErrorStatus("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
