Repeat a start that fails for a moment, and accept absent settings

A start gave up at once when an address was still held or the settings file was being replaced, and at each start when the platform had no value for an optional setting or stated a limit of the machine as a fraction.

Change: a start is repeated for up to 10 s. Null members of the settings count as absent; descriptors and memory may be fractions and are bounded.

--- a/include/tanagervane/fleet/udp_gossip.h
+++ b/include/tanagervane/fleet/udp_gossip.h
@@ -56,7 +56,7 @@
   UdpGossip(const UdpGossip&) = delete;
   UdpGossip& operator=(const UdpGossip&) = delete;
 
-  /// Binds `address` ("ip:port").
+  /// Binds `address` ("ip:port"). Does nothing after a success.
   absl::Status Start(std::string_view address);
 
   /// Advances this VM's heartbeat and sends a message to a few peers. Call it
--- a/include/tanagervane/net/http_listener.h
+++ b/include/tanagervane/net/http_listener.h
@@ -67,7 +67,7 @@
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
 
-  /// Listens on `address` ("ip:port").
+  /// Listens on `address` ("ip:port"). Does nothing after a success.
   absl::Status Listen(std::string_view address);
 
   /// Replaces the options. Message limits apply to requests that begin later.
--- a/integration/test_platform.py
+++ b/integration/test_platform.py
@@ -1,7 +1,9 @@
 """tanagervane-node with the stand-in of the users' platform."""
 
+import json
 import os
 import signal
+import socket
 import time
 import threading
 import unittest
@@ -110,6 +112,50 @@
                          "fault %s: the new version is in force" % fault, 3)
             store.omit_events = False
 
+    def test_start_waits_for_its_address(self):
+        """Guards against a process that ends because its predecessor still
+        holds the address."""
+        node = self.nodes[0]
+        node.stop()
+        host, port = node.caller_address.split(":")
+        with socket.socket() as holder:
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            holder.bind((host, int(port)))
+            holder.listen()
+            node.start()
+            wait_for(lambda: "event=start_delayed" in node.log(),
+                     "the start is delayed")
+            time.sleep(0.5)
+            self.assertIsNone(node.process.poll())
+        wait_for(node.ready, "the node is ready")
+
+    def test_start_waits_for_its_settings(self):
+        """Guards against a process that ends because its settings file is
+        being replaced."""
+        node = self.nodes[0]
+        node.stop()
+        with open(node.path, encoding="utf-8") as file:
+            settings = file.read()
+        self.write(node.path, settings[:len(settings) // 2])
+        node.start()
+        wait_for(lambda: "event=settings_delayed" in node.log(),
+                 "the start is delayed")
+        self.write(node.path, settings)
+        wait_for(node.ready, "the node is ready")
+
+    def test_settings_without_optional_values(self):
+        """Guards against a process that does not start because the platform
+        has no value for a setting, or states a limit as a fraction."""
+        node = self.nodes[0]
+        node.stop()
+        with open(node.path, encoding="utf-8") as file:
+            settings = json.load(file)
+        settings.update(memory_mb=390.5, max_descriptors=None, policy=None)
+        settings["bounds"].update(retry_slack=None, drain_ms=None)
+        self.write(node.path, json.dumps(settings))
+        node.start()
+        wait_for(node.ready, "the node is ready")
+
     def test_orders_late_in_a_graceful_stop(self):
         """Guards against orders that are taken late in the grace time of a
         stop, reach a replica and are cut at its end."""
--- a/lib/fleet/udp_gossip.cc
+++ b/lib/fleet/udp_gossip.cc
@@ -50,6 +50,9 @@
 }
 
 absl::Status UdpGossip::Start(std::string_view address) {
+  if (m_descriptor >= 0) {
+    return absl::OkStatus();
+  }
   const auto parsed = ParseSocketAddress(address);
   if (!parsed.ok()) {
     return parsed.status();
--- a/lib/net/http_listener.cc
+++ b/lib/net/http_listener.cc
@@ -295,6 +295,9 @@
 }
 
 absl::Status HttpListener::Listen(std::string_view address) {
+  if (m_listen_descriptor >= 0) {
+    return absl::OkStatus();
+  }
   const auto parsed = ParseSocketAddress(address);
   if (!parsed.ok()) {
     return parsed.status();
--- a/tools/tanagervane-node/main.cc
+++ b/tools/tanagervane-node/main.cc
@@ -1,12 +1,18 @@
 // Entry point of tanagervane-node, the server process of one VM of the tier.
 
+#include <glib.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
+#include <functional>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "absl/flags/flag.h"
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
 #include "tanagervane/net/event_loop.h"
 #include "tanagervane/net/poller.h"
 #include "tanagervane/program/flags.h"
@@ -35,6 +41,28 @@
 /// Time between checks of the settings file, which may change without a signal.
 constexpr Millis kSettingsPollInterval{1000};
 
+/// A start is repeated this often and for this long while it fails: the
+/// settings file may be being replaced, and a process that is about to end may
+/// still hold an address.
+constexpr Millis kStartRetryInterval{200};
+constexpr Millis kMaxStartTime{10'000};
+
+/// Calls `start` until it returns no error or kMaxStartTime has passed. Reports
+/// the first failure as `event`. The process does nothing else meanwhile.
+absl::Status RetryStart(std::string_view event,
+                        const std::function<absl::Status()>& start) {
+  const Millis give_up_at = Poller::Now() + kMaxStartTime;
+  absl::Status status = start();
+  if (!status.ok()) {
+    ReportError(event, status);
+  }
+  while (!status.ok() && Poller::Now() < give_up_at) {
+    g_usleep(static_cast<gulong>(kStartRetryInterval.count() * 1000));
+    status = start();
+  }
+  return status;
+}
+
 std::string SettingsPath() {
   std::string flag = absl::GetFlag(FLAGS_settings);
   if (!flag.empty()) {
@@ -53,7 +81,10 @@
   BoundedLog log(STDOUT_FILENO, {}, &Poller::Now);
   SetLogSink([&log](std::string_view line) { log.Write(line); });
   Node node(loop, settings, static_cast<uint64_t>(EventLoop::WallMillis()));
-  absl::Status status = node.Start();
+  const absl::Status status = RetryStart("start_delayed", [&] {
+    log.Flush();
+    return node.Start();
+  });
   if (status.ok()) {
     loop.SetStopSignalHandler([&node] { node.Stop(); });
     const auto reload = [&node](const NodeSettings& changed) {
@@ -84,12 +115,22 @@
   // ignored, because the start reads the settings anyway.
   std::signal(SIGHUP, SIG_IGN);
   SettingsFile file(SettingsPath());
-  const auto settings = file.Load();
-  if (!settings.ok()) {
-    return ReportError("settings_invalid", settings.status());
+  if (absl::GetFlag(FLAGS_check_settings)) {
+    const absl::Status status = file.Load().status();
+    return status.ok() ? kExitSuccess : ReportError("settings_invalid", status);
+  }
+  NodeSettings settings;
+  const absl::Status status = RetryStart("settings_delayed", [&] {
+    absl::StatusOr<NodeSettings> loaded = file.Load();
+    if (loaded.ok()) {
+      settings = *std::move(loaded);
+    }
+    return loaded.status();
+  });
+  if (!status.ok()) {
+    return ReportError("settings_invalid", status);
   }
-  return absl::GetFlag(FLAGS_check_settings) ? kExitSuccess
-                                             : Run(*settings, file);
+  return Run(settings, file);
 }
 
 }  // namespace
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -41,6 +41,8 @@
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
+  /// Binds the addresses and starts to follow the store. Fails if an address
+  /// cannot be bound, and may then be repeated.
   absl::Status Start();
 
   /// Leaves the fleet, lets running requests finish within the stop grace time
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -2,12 +2,15 @@
 
 #include "tools/tanagervane-node/settings.h"
 
+#include <algorithm>
 #include <array>
+#include <utility>
 
 #include "fmt/format.h"
 #include "tanagervane/net/socket.h"
 #include "tanagervane/support/error.h"
 #include "tanagervane/support/json_object.h"
+#include "tanagervane/support/json_text.h"
 
 namespace tanagervane {
 
@@ -20,6 +23,35 @@
 constexpr int64_t kGossipPortOffset = 0;
 constexpr int64_t kMetricsPortOffset = 1;
 
+/// Larger limits of the machine mean the same as this one.
+constexpr double kMaxMachineLimit = 1e9;
+
+/// Removes the members that are null: a template yields null where the platform
+/// has no value, and the default applies.
+void RemoveNullMembers(nlohmann::json& json) {
+  if (!json.is_object()) {
+    return;
+  }
+  for (auto it = json.begin(); it != json.end();) {
+    if (it->is_null()) {
+      it = json.erase(it);
+      continue;
+    }
+    RemoveNullMembers(*it);
+    ++it;
+  }
+}
+
+/// Reads a limit of the machine, which the platform may state as a fraction.
+size_t ReadMachineLimit(JsonObject& json,
+                        const std::string& key,
+                        size_t fallback,
+                        double min_value) {
+  const double limit =
+      json.NumberOr(key, static_cast<double>(fallback), min_value);
+  return static_cast<size_t>(std::min(limit, kMaxMachineLimit));
+}
+
 Millis ReadSeconds(JsonObject& json, const std::string& key, double fallback) {
   return Millis(json.NumberOr(key, fallback, 0) * kMillisPerSecond);
 }
@@ -87,15 +119,21 @@
 }  // namespace
 
 absl::StatusOr<NodeSettings> ParseNodeSettings(std::string_view text) {
-  JsonObject json(text, /*allow_comments=*/true);
+  absl::StatusOr<nlohmann::json> parsed =
+      ParseJson(text, JsonComments::kIgnored);
+  if (!parsed.ok()) {
+    return parsed.status();
+  }
+  RemoveNullMembers(*parsed);
+  JsonObject json(*std::move(parsed), "");
   NodeSettings settings;
   settings.id = json.String("id");
   settings.data_centre = json.String("data_centre");
   settings.store_address = json.String("store_address");
   settings.max_descriptors =
-      static_cast<size_t>(json.Integer("max_descriptors", 64));
-  settings.memory_mb = static_cast<size_t>(json.IntegerOr(
-      "memory_mb", static_cast<int64_t>(settings.memory_mb), 16));
+      ReadMachineLimit(json, "max_descriptors", settings.max_descriptors, 64);
+  settings.memory_mb =
+      ReadMachineLimit(json, "memory_mb", settings.memory_mb, 16);
   ReadListeners(json, settings);
   ReadBounds(json, settings);
   ReadPolicy(json, settings);
