--- a/lib/edge/gossip.cc
+++ b/lib/edge/gossip.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "tanagervane/support/error.h"
 #include "tanagervane/support/log.h"
 
 namespace tanagervane {
@@ -202,9 +203,7 @@
         if (!stored.ok()) {
           LogEvent("peer_document_refused")
               .Field("peer", peer)
-              .Field("reason",
-                     std::string_view(stored.status().message().data(),
-                                      stored.status().message().size()));
+              .Field("reason", GetErrorMessage(stored.status()));
           done(false, std::nullopt);
           return;
         }
--- a/lib/program/flags.cc
+++ b/lib/program/flags.cc
@@ -136,10 +136,9 @@
 }
 
 int ReportError(std::string_view event, const absl::Status& status) {
-  const absl::string_view message = status.message();
   LogEvent(event)
       .Field("path", GetErrorPath(status))
-      .Field("reason", std::string_view(message.data(), message.size()));
+      .Field("reason", GetErrorMessage(status));
   return kExitFailure;
 }
 
--- a/lib/state/document_tracker.cc
+++ b/lib/state/document_tracker.cc
@@ -130,8 +130,7 @@
   LogEvent("document_refused")
       .Field("revision", revision)
       .Field("source", source)
-      .Field("reason", std::string_view(reason.message().data(),
-                                        reason.message().size()));
+      .Field("reason", GetErrorMessage(reason));
   m_last_invalid =
       InvalidDocument{revision, std::move(reason), std::string(source), now};
   m_refused_until[revision] = now + kRefusedRetryInterval;
--- a/standins/common/control.cc
+++ b/standins/common/control.cc
@@ -27,11 +27,9 @@
 
 HttpResponse ErrorResponse(unsigned http_status, const absl::Status& status) {
   const auto code = GetErrorCode(status).value_or(ErrorCode::kInternal);
-  HttpResponse response =
-      JsonResponse({{"error", ToString(code)},
-                    {"path", GetErrorPath(status)},
-                    {"detail", std::string(status.message().data(),
-                                           status.message().size())}});
+  HttpResponse response = JsonResponse({{"error", ToString(code)},
+                                        {"path", GetErrorPath(status)},
+                                        {"detail", GetErrorMessage(status)}});
   response.status = http_status;
   return response;
 }
--- a/tools/tanagervane-ctl/operator_client.cc
+++ b/tools/tanagervane-ctl/operator_client.cc
@@ -10,14 +10,6 @@
 
 namespace tanagervane {
 
-namespace {
-
-std::string MessageString(const absl::Status& status) {
-  return std::string(status.message());
-}
-
-}  // namespace
-
 std::string OperatorReply::TextOr(std::string_view key,
                                   std::string_view fallback) const {
   if (json.is_object()) {
@@ -59,7 +51,7 @@
     LogEvent("call_failed")
         .Field("address", address)
         .Field("path", path)
-        .Field("detail", MessageString((*result)->status()));
+        .Field("detail", GetErrorMessage((*result)->status()));
     return (*result)->status();
   }
   HttpResponse& response = ***result;
--- a/tools/tanagervane-node/main.cc
+++ b/tools/tanagervane-node/main.cc
@@ -122,10 +122,11 @@
   NodeSettings settings;
   const absl::Status status = RetryStart("settings_delayed", [&] {
     absl::StatusOr<NodeSettings> loaded = file.Load();
-    if (loaded.ok()) {
-      settings = *std::move(loaded);
+    if (!loaded.ok()) {
+      return loaded.status();
     }
-    return loaded.status();
+    settings = *std::move(loaded);
+    return absl::OkStatus();
   });
   if (!status.ok()) {
     return ReportError("settings_invalid", status);
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -317,10 +317,9 @@
 void Node::OnCallerRequest(ExchangeId exchange, HttpRequestMessage message) {
   auto decoded = DecodeCallerRequest(std::move(message));
   if (!decoded.ok()) {
-    const auto reason = decoded.status().message();
     LogEvent("request_invalid")
         .Field("path", GetErrorPath(decoded.status()))
-        .Field("reason", std::string_view(reason.data(), reason.size()));
+        .Field("reason", GetErrorMessage(decoded.status()));
     m_caller_listener.Respond(exchange, EncodeRejection(decoded.status()));
     return;
   }
