Bring about faults of other writers, replicas and connections in the soak

Change: a third series of faults with a generator of its own: entries that cannot be read, connections to replicas that go silent, replies without end or with lengths that do not fit, late rejections without an id, stale reads. The soak reports processes that end by themselves.

--- a/integration/soak_platform.py
+++ b/integration/soak_platform.py
@@ -14,7 +14,12 @@
   for how long they want none;
 - the store returns 503, does not answer, is slow, omits events from watches,
   loses the answers of writes or discards its history;
-- the configuration changes.
+- the configuration changes;
+- other writers put entries that cannot be read into the store;
+- open connections to replicas go silent while new ones work;
+- replicas send replies without end or lengths that do not fit, or late copies
+  of a rejected health check;
+- stale reads of the store become seconds old.
 Callers reuse connections and check every answer at once; after the faults, the
 executions that replicas recorded are compared with what callers saw, and the
 requests that reached them with what they had stated.
@@ -34,11 +39,20 @@
 from fault_links import CLEARED_FAULTS, FAULTS, Links
 from platform_cluster import (BASE_PORT, SHARDS, Node, Reply, call_node,
                               merge_problem, routes, wait_for)
-from platform_standin import Platform
+from platform_standin import ENDLESS, Platform, RawSpec
 from statement_audit import StatementAudit
 
 LINK_PORTS = BASE_PORT + 6000
 MODES = ("silent", "shed", "error", "reset", "cut", "extra")
+STRANGE_MODES = ("late_rejection", *ENDLESS)
+# Contents of entries of other writers.
+FOREIGN_SPECS = (
+    '{"service":%s}' % ("[" * 100000 + "]" * 100000),
+    '{"zone":%s1%s}' % ('{"a":' * 100000, "}" * 100000),
+    '{"service":"\udcff"}', '{"concurrencyLimit":1e999}',
+    '{"addr":"127.0.0.1:70000","service":"desk","zone":"a",'
+    '"concurrencyLimit":1,"state":"ready"}', '{"service":"\\ud800"}', "[]")
+FOREIGN_KINDS = ("servers", "config", "tanagervane-vms")
 # The longest durations of a fault and of a statement of replicas.
 MAX_FAULT_S = 2.0
 MAX_STATEMENT_S = 8.0
@@ -91,6 +105,7 @@
         self.callers = callers
         self.random = random.Random(seed)
         self.statement_random = random.Random("statements %d" % seed)
+        self.peer_random = random.Random("peers %d" % seed)
         self.problems = []
         self.outcomes = {}
         self.lock = threading.Lock()
@@ -152,9 +167,16 @@
     def choose_node(self):
         """Returns a node that is about to be disrupted."""
         node = self.random.choice(self.nodes)
+        self.check_process(node)
         self.audit.add_disruption(node.ip, time.monotonic())
         return node
 
+    def check_process(self, node):
+        """Reports a process that ended by itself."""
+        if node.process.poll() not in (None, 0, -signal.SIGKILL):
+            self.add_problem("%s ended by itself: %d" %
+                             (node.ip, node.process.returncode))
+
     def kill_node(self):
         node = self.choose_node()
         node.process.kill()
@@ -198,7 +220,6 @@
         for replica in group:
             replica.mode = self.random.choice(MODES)
 
-
         def restore():
             for replica in group:
                 replica.mode = "good"
@@ -300,6 +321,38 @@
         replica.leaving = True
         return lambda: replica.register("draining")
 
+    # Faults of other writers, replicas and connections. Each returns a
+    # function that ends it.
+
+    def write_foreign_entry(self):
+        generator = self.peer_random
+        kind = generator.choice(FOREIGN_KINDS)
+        name = "foreign %d" % generator.randrange(1000)
+        self.platform.store.put(kind, name,
+                                RawSpec(generator.choice(FOREIGN_SPECS)))
+        return lambda: self.platform.store.delete(kind, name)
+
+    def silence_connections(self):
+        for replica in self.peer_random.sample(self.platform.all_replicas(), 4):
+            replica.silence_connections()
+        return lambda: None
+
+    def send_strange_replies(self):
+        replica = self.peer_random.choice(self.platform.all_replicas())
+        replica.mode = self.peer_random.choice(STRANGE_MODES)
+
+        def restore():
+            replica.mode = "good"
+        return restore
+
+    def age_stale_reads(self):
+        store = self.platform.store
+        store.stale_s = self.peer_random.uniform(0.5, 2)
+
+        def restore():
+            store.stale_s = 0
+        return restore
+
     def inject(self, generator, faults, seconds, longest_s):
         """Injects faults that last up to `longest_s` each, and ends them."""
         # Two node faults at a time could act on the same process.
@@ -332,15 +385,21 @@
                   self.break_links, self.break_store, self.forget_history,
                   self.change_config]
         statements = [self.limit_replicas, self.ask_for_backoff, self.leave]
-        # With a generator of their own, statements leave the faults of a seed
-        # as they are.
-        thread = threading.Thread(target=self.inject, args=(
-            self.statement_random, statements, seconds, MAX_STATEMENT_S))
-        thread.start()
+        peer_faults = [self.write_foreign_entry, self.silence_connections,
+                       self.send_strange_replies, self.age_stale_reads]
+        # With generators of their own, these leave the faults of a seed as
+        # they are.
+        threads = [threading.Thread(target=self.inject, args=arguments)
+                   for arguments in (
+            (self.statement_random, statements, seconds, MAX_STATEMENT_S),
+            (self.peer_random, peer_faults, seconds, MAX_FAULT_S))]
+        for thread in threads:
+            thread.start()
         try:
             self.inject(self.random, faults, seconds, MAX_FAULT_S)
         finally:
-            thread.join()
+            for thread in threads:
+                thread.join()
 
     def all_answers_complete(self):
         replies = [call_node(node, "/all/x") for node in self.nodes]
@@ -386,6 +445,7 @@
                 self.add_problem("no caller was served")
             self.check_executions()
             for node in self.nodes:
+                self.check_process(node)
                 node.stop()
             self.links.stop()
             self.platform.close()
