Keep gossip about changes within the bound of control traffic

Cause: RevisionGossip was sent beside ReplicaGossip in each round after a change. With both at their longest the messages of a VM exceed 15 KB/s at 300 VMs (11 KB/s of GossipMessage, 3.8 of ReplicaGossip, up to 2.9 more).

Change: ChooseReports() sends both reports if they fit the 320 bytes that were allowed before, else one in turn; a revision message has at most four reports of each kind.

--- a/include/tanagervane/fleet/revision_gossip.h
+++ b/include/tanagervane/fleet/revision_gossip.h
@@ -14,8 +14,9 @@
 
 namespace tanagervane {
 
-/// Bounds a message to about 100 bytes for each of the two lists.
-inline constexpr size_t kMaxGossipedRevisions = 8;
+/// Bounds each of the two lists of a message. Earlier reports have been passed
+/// on in earlier rounds.
+inline constexpr size_t kMaxGossipedRevisions = 4;
 
 /// Separate from GossipMessage, which tells the latest revision only of the
 /// sender itself and not its time. VMs of an earlier release drop this message.
--- a/include/tanagervane/fleet/udp_gossip.h
+++ b/include/tanagervane/fleet/udp_gossip.h
@@ -94,6 +94,7 @@
   Quarantine& m_quarantine;
   UdpGossipHooks m_hooks;
   int m_descriptor = -1;
+  uint64_t m_rounds = 0;
   uint64_t m_received = 0;
   uint64_t m_rejected = 0;
   Millis m_next_rejection_log;
--- a/lib/fleet/gossip_rounds.cc
+++ b/lib/fleet/gossip_rounds.cc
@@ -44,4 +44,21 @@
   peers.OnRemotePeerCount(message.known_peers, now);
 }
 
+std::vector<std::string> ChooseReports(const ReplicaGossip& replicas,
+                                       const RevisionGossip& revisions,
+                                       uint64_t round) {
+  std::vector<std::string> reports;
+  if (!replicas.empty()) {
+    reports.push_back(EncodeReplicaGossip(replicas));
+  }
+  if (!revisions.empty()) {
+    reports.push_back(EncodeRevisionGossip(revisions));
+  }
+  if (reports.size() == 2 &&
+      reports[0].size() + reports[1].size() > kMaxReportBytes) {
+    reports.erase(reports.begin() + static_cast<ptrdiff_t>(round % 2));
+  }
+  return reports;
+}
+
 }  // namespace tanagervane
--- a/lib/fleet/udp_gossip.cc
+++ b/lib/fleet/udp_gossip.cc
@@ -92,17 +92,14 @@
   const std::string bytes = EncodeGossip(message);
   ReplicaGossip replica_gossip = m_hooks.make_replica_gossip(now);
   replica_gossip.sender = message.sender;
-  const std::string replica_bytes = EncodeReplicaGossip(replica_gossip);
   RevisionGossip revision_gossip = m_hooks.make_revision_gossip(now);
   revision_gossip.sender = message.sender;
-  const std::string revision_bytes = EncodeRevisionGossip(revision_gossip);
+  const std::vector<std::string> reports =
+      ChooseReports(replica_gossip, revision_gossip, ++m_rounds);
   for (const std::string& target : targets) {
     SendTo(target, bytes);
-    if (!replica_gossip.empty()) {
-      SendTo(target, replica_bytes);
-    }
-    if (!revision_gossip.empty()) {
-      SendTo(target, revision_bytes);
+    for (const std::string& report : reports) {
+      SendTo(target, report);
     }
   }
 }
