--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -585,6 +585,10 @@
 
     async def run():
         case = Case(number, folder)
+        # A case that is ended from outside ends its processes.
+        for name in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(
+                name, asyncio.current_task().cancel)
         try:
             command = os.path.join(ROOT, load_role()[0][0])
             if not os.access(command, os.X_OK):
@@ -601,7 +605,8 @@
             case.record.line("verdict: %s, %d findings" % (verdict,
                                                            len(broken)))
             return EXIT_BROKEN if broken else EXIT_HELD
-        except (CannotRun, asyncio.TimeoutError) as error:
+        except (CannotRun, asyncio.TimeoutError,
+                asyncio.CancelledError) as error:
             print("case %d could not run: %r" % (number, error))
             case.record.line("could not run: %r" % error)
             return EXIT_NOT_RUN
