--- a/include/tanagervane/serving/config.h
+++ b/include/tanagervane/serving/config.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "tanagervane/identity/tenant.h"
 #include "tanagervane/support/millis.h"
 
 namespace tanagervane {
@@ -34,6 +35,8 @@
   uint32_t max_replicas = 1;
   /// 0 is the highest priority.
   uint32_t priority = 0;
+  /// Whether callers need no key.
+  bool is_public = false;
   /// Services among which requests are split by weight; empty for fan-outs.
   std::vector<WeightedService> targets;
   /// One service for each shard; empty unless the route is a fan-out.
@@ -51,6 +54,9 @@
   std::string health_path;
   /// Connections that a replica accepts from all VMs of the tier together.
   uint32_t max_connections = 1;
+  /// Requests per second that a replica tolerates while it warms up; 0 for no
+  /// limit.
+  double warm_up_rate = 0;
 };
 
 /// Limits on the size and timing of callers' requests.
@@ -65,6 +71,8 @@
   uint64_t version = 0;
   std::vector<RouteSpec> routes;
   std::vector<ServiceSpec> services;
+  /// Empty if callers need no keys.
+  std::vector<TenantSpec> tenants;
   CallerLimits limits;
 };
 
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "platform/config_codec.h"
 #include "platform/object_codec.h"
 #include "tanagervane/fleet/latest_watchers.h"
 #include "tanagervane/support/error.h"
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -79,6 +79,23 @@
   settings.retries.window = ReadSeconds(bounds, "retry_window_s", 10);
   settings.drain_bound =
       Millis(bounds.NumberOr("drain_ms", settings.drain_bound.count(), 0));
+  settings.strict_revocation = bounds.BooleanOr("strict_revocation", false);
+  settings.revocation_bound = Millis(
+      bounds.NumberOr("revocation_ms", settings.revocation_bound.count(), 1));
+  settings.config_apply_bound = Millis(bounds.NumberOr(
+      "config_apply_ms", settings.config_apply_bound.count(), 1));
+  settings.quota.window =
+      Millis(bounds.NumberOr("quota_window_s", 5, 0.001) * kMillisPerSecond);
+  settings.quota.overshoot =
+      bounds.NumberOr("quota_overshoot", settings.quota.overshoot, 0);
+  settings.quota.slack =
+      bounds.NumberOr("quota_slack", settings.quota.slack, 0);
+  settings.warm_up.overshoot =
+      bounds.NumberOr("warm_up_overshoot", settings.warm_up.overshoot, 0);
+  settings.warm_up.slack =
+      bounds.NumberOr("warm_up_slack", settings.warm_up.slack, 0);
+  settings.evacuation_bound = Millis(
+      bounds.NumberOr("evacuation_ms", settings.evacuation_bound.count(), 1));
   json.MergeError(bounds.Finish());
 }
 
@@ -134,6 +151,7 @@
       ReadMachineLimit(json, "max_descriptors", settings.max_descriptors, 64);
   settings.memory_mb =
       ReadMachineLimit(json, "memory_mb", settings.memory_mb, 16);
+  settings.first_start = json.BooleanOr("first_start", false);
   ReadListeners(json, settings);
   ReadBounds(json, settings);
   ReadPolicy(json, settings);
--- a/tools/tanagervane-node/settings.h
+++ b/tools/tanagervane-node/settings.h
@@ -16,6 +16,21 @@
 
 namespace tanagervane {
 
+/// Bound on the requests of a tenant that all VMs together pass on in a window:
+/// (rate x window + burst) x (1 + overshoot) + slack.
+struct QuotaBounds {
+  Millis window{5000};
+  double overshoot = 0.1;
+  double slack = 20;
+};
+
+/// Bound on the requests that all VMs together send to a replica that warms up,
+/// in any second: rate x overshoot + slack.
+struct WarmUpBounds {
+  double overshoot = 1.5;
+  double slack = 5;
+};
+
 /// Settings of one VM of the tier.
 struct NodeSettings {
   std::string id;
@@ -46,6 +61,20 @@
   /// How long a replica continues to serve after its registration is removed.
   Millis drain_bound{3000};
   ServingPolicy policy;
+  /// Whether a key that was taken away must stop working everywhere, also on
+  /// VMs that do not reach the store, and after how long.
+  bool strict_revocation = false;
+  Millis revocation_bound{5000};
+  /// Time within which an accepted configuration is in force on all VMs that
+  /// reach the store.
+  Millis config_apply_bound{5000};
+  QuotaBounds quota;
+  WarmUpBounds warm_up;
+  /// Time within which nothing more is sent to an evacuated data centre.
+  Millis evacuation_bound{5000};
+  /// Whether the whole system starts for the first time, so that no earlier
+  /// process has used any limit.
+  bool first_start = false;
 };
 
 /// Parses JSON with comments. Fails with kInvalidRequest and the path of the
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -6,6 +6,7 @@
 #include "gtest/gtest.h"
 #include "nlohmann/json.hpp"
 #include "platform/caller_codec.h"
+#include "platform/config_codec.h"
 #include "platform/object_codec.h"
 #include "platform/replica_codec.h"
 #include "rapidcheck/gtest.h"
@@ -50,6 +51,29 @@
   EXPECT_FALSE(DecodeConfig({"main", 1, spec})->routes[0].idempotent);
 }
 
+// Guards against tenants, public routes and warm-up limits that are lost or
+// mixed up on the way from the store.
+TEST(ConfigCodecTest, DecodesTenants) {
+  json spec = ConfigJson();
+  spec["routes"][0]["public"] = true;
+  spec["services"][0]["warmupPerS"] = 2.5;
+  spec["tenants"] = json::parse(R"([
+    {"name": "a", "apiKeys": ["k1", "k2"], "priority": 0, "ratePerS": 47,
+     "burst": 12},
+    {"name": "b", "apiKeys": []}])");
+  const auto config = DecodeConfig({"main", 1, spec});
+  ASSERT_TRUE(config.ok());
+  EXPECT_TRUE(config->routes[0].is_public);
+  EXPECT_EQ(config->services[0].warm_up_rate, 2.5);
+  ASSERT_EQ(config->tenants.size(), 2U);
+  EXPECT_EQ(config->tenants[0].keys, (std::vector<std::string>{"k1", "k2"}));
+  EXPECT_EQ(config->tenants[0].priority, 0U);
+  EXPECT_EQ(config->tenants[0].rate, 47);
+  EXPECT_EQ(config->tenants[0].burst, 12);
+  EXPECT_EQ(config->tenants[1].priority, std::nullopt);
+  EXPECT_EQ(config->tenants[1].rate, 0);
+}
+
 // An invalid configuration must be rejected as a whole.
 TEST(ConfigCodecTest, MissingOrMistypedFieldsNameTheirPath) {
   json spec = ConfigJson();
