Add a rate limit over the fleet as a library

Limits of tenants must hold over all VMs together. The library lends shares of each limit to a pool VM by leases and grants permits from token buckets that follow the shares held. It has no socket and no clock.

--- /dev/null
+++ b/include/tanagervane/quota/fleet_quota.h
@@ -0,0 +1,195 @@
+// Admits requests of tenants within rate limits that hold over the fleet.
+
+#ifndef TANAGERVANE_QUOTA_FLEET_QUOTA_H_
+#define TANAGERVANE_QUOTA_FLEET_QUOTA_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "tanagervane/identity/tenant.h"
+#include "tanagervane/quota/bounds.h"
+#include "tanagervane/quota/fleet_census.h"
+#include "tanagervane/quota/messages.h"
+#include "tanagervane/quota/permit_client.h"
+#include "tanagervane/quota/permit_pool.h"
+#include "tanagervane/quota/share_table.h"
+
+namespace tanagervane {
+
+/// Time between the questions of a pool VM for the shares of the others.
+inline constexpr Millis kShareRoundInterval{500};
+
+enum class PermitState {
+  kGranted,
+  /// The tenant has used its allowance.
+  kRefused,
+  /// Neither the pool VM nor this VM can grant a permit now.
+  kUnavailable,
+  /// FleetQuotaHooks::on_permit follows.
+  kPending,
+};
+
+struct PermitDecision {
+  PermitState state = PermitState::kUnavailable;
+  /// For kRefused and kUnavailable.
+  Millis retry_after;
+};
+
+struct FleetQuotaHooks {
+  /// Sends a message to another VM. It may be lost.
+  std::function<void(std::string_view vm, const QuotaMessage&)> send;
+  /// Reports the decision on a request for which Ask() returned kPending.
+  std::function<void(uint64_t request, const PermitDecision&)> on_permit;
+};
+
+struct FleetQuotaStats {
+  uint64_t granted = 0;
+  uint64_t refused = 0;
+  uint64_t unavailable = 0;
+  /// Questions to other VMs, and those that got no answer in time.
+  uint64_t questions = 0;
+  uint64_t timeouts = 0;
+  uint64_t returned = 0;
+};
+
+/// State of one VM. All times must come from a clock that counts the time in
+/// which the machine is suspended. Hooks must not call back.
+class FleetQuota {
+ public:
+  /// `seed` must differ between processes of the same VM.
+  FleetQuota(std::string self,
+             uint64_t seed,
+             const QuotaBounds& bounds,
+             FleetQuotaHooks hooks,
+             Millis now);
+
+  void SetBounds(const QuotaBounds& bounds, Millis now);
+
+  /// Sets the tenants; those without a rate have no limit.
+  void SetTenants(std::span<const TenantSpec> tenants, Millis now);
+
+  /// Whether a tenant has a limit. Without one nothing is sent.
+  bool enabled() const { return !m_pool.empty(); }
+  bool IsLimited(std::string_view tenant) const {
+    return m_pool.Contains(tenant);
+  }
+
+  /// Records a list of VMs from the store; see FleetCensus::OnList().
+  void OnList(std::span<const std::string> listed,
+              Millis requested_at,
+              Millis now);
+
+  /// Sets the other VMs that gossip considers alive.
+  void SetLive(std::vector<std::string> others, Millis now);
+
+  /// Asks for a permit for one request of a tenant with a limit.
+  PermitDecision Ask(uint64_t request, std::string_view tenant, Millis now);
+
+  /// Returns the permit of a request that will not run. Possible until the next
+  /// permit is granted and within kPermitLifetime.
+  void Return(uint64_t request, Millis now);
+
+  /// Ends the wait of a request for which Ask() returned kPending.
+  void Cancel(uint64_t request) { m_client.Cancel(request); }
+
+  void OnMessage(const QuotaMessage& message, Millis now);
+
+  void OnTick(Millis now);
+  /// Time at which OnTick() must be called next; nullopt when no timer is set.
+  std::optional<Millis> NextTimer() const;
+
+  const FleetQuotaStats& stats() const { return m_stats; }
+  /// The share of each limit that this VM owns.
+  double owned_share() const { return m_shares.owned(); }
+  /// The share of the tenant's limit that this VM may use now.
+  double UsableShare(std::string_view tenant, Millis now) const;
+
+ private:
+  /// The permit that was granted last, which Return() may return.
+  struct LastPermit {
+    uint64_t request = 0;
+    std::string tenant;
+    /// Empty if this VM granted it.
+    std::string pool_vm;
+    uint64_t nonce = 0;
+    Millis granted_at;
+  };
+  struct Round {
+    uint64_t nonce = 0;
+    Millis sent_at;
+  };
+
+  /// Takes shares back whose lease has ended, and updates the owned share.
+  void Advance(Millis now);
+  void UpdateOwnedShare(Millis now);
+  void SettleAll(Millis now);
+  void Settle(size_t slot, Millis now);
+  void ChoosePools(Millis now);
+  void SendRound(Millis now);
+  SlotMask PooledSlots() const;
+  bool IsInGroup(std::string_view vm) const;
+
+  void Handle(const std::string& vm, const ShareRequest& request, Millis now);
+  void Handle(const std::string& vm, const ShareGrant& grant, Millis now);
+  void Handle(const std::string& vm, const PermitRequest& request, Millis now);
+  void Handle(const std::string& vm, const PermitReply& reply, Millis now);
+  void Handle(const std::string& vm, const PermitReturn& message, Millis now);
+
+  /// Lends the share of a slot to the pool VM that asks.
+  bool Lend(size_t slot, const std::string& vm, Millis now);
+  PermitDecision TakeLocally(uint64_t request,
+                             std::string_view tenant,
+                             Millis now);
+  /// Uses this VM's share because the pool VM does not answer or holds none.
+  PermitDecision TakeFallback(uint64_t request,
+                              std::string_view tenant,
+                              Millis now);
+  PermitDecision Refuse(std::string_view tenant,
+                        Millis retry_after,
+                        Millis now);
+  PermitDecision Unavailable();
+  void Finish(const PermitQuestion& question, const PermitDecision& decision);
+  template <typename Body>
+  void Send(std::string_view vm, Body body) {
+    m_hooks.send(vm, {.sender = m_self, .body = std::move(body)});
+  }
+
+  std::string m_self;
+  QuotaBounds m_bounds;
+  FleetQuotaHooks m_hooks;
+  std::vector<TenantSpec> m_tenants;
+  FleetCensus m_census;
+  ShareTable m_shares;
+  PermitPool m_pool;
+  PermitClient m_client;
+  std::vector<std::string> m_live;
+  /// The number of VMs for which m_pool_vms was chosen.
+  size_t m_group_count = 0;
+  /// By slot.
+  std::vector<std::string> m_pool_vms;
+  uint64_t m_round_nonce;
+  /// Rounds whose answers may still start a lease.
+  std::deque<Round> m_rounds;
+  Millis m_next_round;
+  Millis m_census_updated_at;
+  /// Where the next round begins among the VMs of other groups.
+  size_t m_next_outside = 0;
+  /// By tenant: until when the pool VM has no token.
+  std::map<std::string, Millis, std::less<>> m_refused_until;
+  /// By VM: until when it is not asked because it did not answer.
+  std::map<std::string, Millis, std::less<>> m_silent_until;
+  LastPermit m_last_permit;
+  FleetQuotaStats m_stats;
+};
+
+}  // namespace tanagervane
+
+#endif  // TANAGERVANE_QUOTA_FLEET_QUOTA_H_
--- /dev/null
+++ b/unittests/quota/fleet_quota_test.cc
@@ -0,0 +1,292 @@
+// The limit and the service of FleetQuota in a simulated fleet.
+
+#include "tanagervane/quota/fleet_quota.h"
+
+#include <cmath>
+
+#include "gtest/gtest.h"
+#include "quota_fleet.h"
+#include "rapidcheck/gtest.h"
+
+namespace tanagervane {
+namespace {
+
+TenantSpec MakeTenant(const std::string& name, double rate, double burst) {
+  TenantSpec tenant;
+  tenant.name = name;
+  tenant.rate = rate;
+  tenant.burst = burst;
+  return tenant;
+}
+
+/// Runs until shares have been lent.
+constexpr Millis kSettleTime{8000};
+
+/// Time for the last questions to be answered.
+constexpr Millis kAnswerTime{100};
+
+/// Sends requests of a tenant as a Poisson process.
+class Demand {
+ public:
+  Demand(QuotaFleet& fleet,
+         std::string tenant,
+         double per_second,
+         Random& random)
+      : m_fleet(fleet),
+        m_tenant(std::move(tenant)),
+        m_per_ms(per_second / 1000),
+        m_random(random) {}
+
+  /// Sends the requests of one millisecond to VMs in [first, first + count).
+  /// Returns their number.
+  int Step(size_t first, size_t count) {
+    int sent = 0;
+    for (m_due += m_per_ms * -std::log(1 - m_random.NextDouble()); m_due >= 1;
+         m_due -= 1) {
+      m_fleet.Send(first + m_random.NextBelow(count), m_tenant);
+      ++sent;
+    }
+    return sent;
+  }
+
+ private:
+  QuotaFleet& m_fleet;
+  std::string m_tenant;
+  double m_per_ms;
+  Random& m_random;
+  double m_due = 0;
+};
+
+/// Returns the admissions of the fleet over those of an ideal counter.
+double AdmittedFraction(const TenantSpec& tenant,
+                        double demand_per_second,
+                        size_t vms,
+                        size_t first,
+                        size_t used_vms,
+                        uint64_t seed) {
+  Random random(seed);
+  QuotaFleet fleet({tenant}, seed);
+  for (size_t i = 0; i < vms; ++i) {
+    fleet.Join();
+  }
+  fleet.Run(kSettleTime);
+  IdealCounter ideal(tenant);
+  double ideally_admitted = 0;
+  Demand demand(fleet, tenant.name, demand_per_second, random);
+  fleet.Run(Millis(40'000), [&] {
+    const int sent = demand.Step(first, used_vms);
+    for (int i = 0; i < sent; ++i) {
+      ideally_admitted += ideal.Admit(fleet.now()) ? 1 : 0;
+    }
+  });
+  fleet.Run(kAnswerTime);
+  EXPECT_LE(fleet.MaxInWindow(tenant.name), WindowBound(tenant, QuotaBounds()));
+  return static_cast<double>(fleet.admitted(tenant.name).size()) /
+         ideally_admitted;
+}
+
+// Guards against refusals of a tenant within its allowance whose callers are
+// on two VMs only, and against a limit that is exceeded there.
+TEST(FleetQuotaTest, CallersOnTwoOfManyVms) {
+  const TenantSpec tenant = MakeTenant("t", 30, 30);
+  EXPECT_GE(AdmittedFraction(tenant, 19, 25, 3, 2, 1), 0.95);
+  EXPECT_GE(AdmittedFraction(tenant, 200, 25, 3, 2, 2), 0.95);
+}
+
+// Guards against a share that is too small for whole requests.
+TEST(FleetQuotaTest, RateBelowOneForEachVm) {
+  const TenantSpec tenant = MakeTenant("t", 0.5, 2);
+  EXPECT_GE(AdmittedFraction(tenant, 0.4, 25, 0, 25, 3), 0.95);
+}
+
+TEST(FleetQuotaTest, SmallFleets) {
+  const TenantSpec tenant = MakeTenant("t", 20, 10);
+  for (size_t vms = 1; vms <= 4; ++vms) {
+    EXPECT_GE(AdmittedFraction(tenant, 15, vms, 0, vms, vms), 0.95) << vms;
+    EXPECT_GE(AdmittedFraction(tenant, 80, vms, 0, 1, vms), 0.95) << vms;
+  }
+}
+
+// Guards against a tenant that is refused because another one of the fleet's
+// many exceeds its allowance, or because its rate is small.
+TEST(FleetQuotaTest, ManyTenants) {
+  constexpr size_t kTenants = 74;
+  std::vector<TenantSpec> tenants;
+  for (size_t i = 0; i < kTenants; ++i) {
+    const double rate = 47.0 * std::pow(static_cast<double>(i + 1), -1.2);
+    tenants.push_back(MakeTenant("tenant-" + std::to_string(i),
+                                 std::max(rate, 0.2), std::max(rate, 1.0)));
+  }
+  Random random(5);
+  QuotaFleet fleet(tenants, 5);
+  for (size_t i = 0; i < 25; ++i) {
+    fleet.Join();
+  }
+  fleet.Run(kSettleTime);
+  std::vector<Demand> demands;
+  for (size_t i = 0; i < kTenants; ++i) {
+    const double factor = i == 3 ? 7.5 / 1.6 : 1 / 1.6;
+    demands.emplace_back(fleet, tenants[i].name, tenants[i].rate * factor,
+                         random);
+  }
+  std::vector<double> ideally_admitted(kTenants);
+  std::vector<IdealCounter> ideal(tenants.begin(), tenants.end());
+  fleet.Run(Millis(20'000), [&] {
+    for (size_t i = 0; i < kTenants; ++i) {
+      const int sent = demands[i].Step(0, 25);
+      for (int k = 0; k < sent; ++k) {
+        ideally_admitted[i] += ideal[i].Admit(fleet.now()) ? 1 : 0;
+      }
+    }
+  });
+  fleet.Run(kAnswerTime);
+  for (size_t i = 0; i < kTenants; ++i) {
+    const std::string& name = tenants[i].name;
+    EXPECT_GE(static_cast<double>(fleet.admitted(name).size()),
+              0.95 * ideally_admitted[i])
+        << name;
+    EXPECT_LE(fleet.MaxInWindow(name), WindowBound(tenants[i], QuotaBounds()));
+  }
+}
+
+// Guards against refusals while shares follow the demand to other VMs.
+TEST(FleetQuotaTest, DemandMovesToOtherVms) {
+  const TenantSpec tenant = MakeTenant("t", 30, 10);
+  Random random(7);
+  QuotaFleet fleet({tenant}, 7);
+  for (size_t i = 0; i < 25; ++i) {
+    fleet.Join();
+  }
+  fleet.Run(kSettleTime);
+  IdealCounter ideal(tenant);
+  double ideally_admitted = 0;
+  Demand demand(fleet, "t", 40, random);
+  for (size_t first : {0U, 20U, 10U}) {
+    fleet.Run(Millis(5000), [&] {
+      const int sent = demand.Step(first, 2);
+      for (int i = 0; i < sent; ++i) {
+        ideally_admitted += ideal.Admit(fleet.now()) ? 1 : 0;
+      }
+    });
+  }
+  fleet.Run(kAnswerTime);
+  EXPECT_GE(static_cast<double>(fleet.admitted("t").size()),
+            0.85 * ideally_admitted);
+}
+
+/// Does something random to the fleet or its network.
+void Disturb(QuotaFleet& fleet, Random& random) {
+  const size_t vm = random.NextBelow(fleet.size());
+  switch (random.NextBelow(12)) {
+    case 0:
+      fleet.Kill(vm);
+      break;
+    case 1:
+    case 2:
+      fleet.Start(vm);
+      break;
+    case 3:
+      fleet.Pause(vm);
+      break;
+    case 4:
+    case 5:
+      fleet.Resume(vm);
+      break;
+    case 6:
+      fleet.SetPart(vm, static_cast<int>(random.NextBelow(3)));
+      break;
+    case 7:
+      for (size_t i = 0; i < fleet.size(); ++i) {
+        fleet.SetPart(i, 0);
+      }
+      break;
+    case 8:
+      if (fleet.size() < 12) {
+        fleet.Join();
+      }
+      break;
+    case 9:
+      fleet.SetReadsList(vm, random.NextBelow(2) == 0);
+      break;
+    case 10:
+      fleet.network().loss = random.NextDouble() * 0.4;
+      break;
+    default:
+      fleet.network().max_delay =
+          Millis(random.NextBelow(3) == 0 ? 1500 * random.NextDouble() : 1.5);
+      break;
+  }
+}
+
+// Guards against more admissions in a window than the bound allows, whatever
+// happens to VMs and messages.
+RC_GTEST_PROP(FleetQuotaProperty, BoundHolds, ()) {
+  const auto seed = *rc::gen::arbitrary<uint64_t>();
+  Random random(seed);
+  std::vector<TenantSpec> tenants = {
+      MakeTenant("a", 1 + random.NextDouble() * 60, random.NextDouble() * 60),
+      MakeTenant("b", 0.2 + random.NextDouble() * 4, random.NextDouble() * 5)};
+  QuotaFleet fleet(tenants, random.Next());
+  fleet.SetReturnOdds(random.NextBelow(2) == 0 ? 0 : 0.2);
+  const size_t vms = 1 + random.NextBelow(8);
+  for (size_t i = 0; i < vms; ++i) {
+    fleet.Join();
+  }
+  Demand a(fleet, "a", tenants[0].rate * random.NextDouble() * 8, random);
+  Demand b(fleet, "b", tenants[1].rate * random.NextDouble() * 8, random);
+  const bool is_bursty = random.NextBelow(2) == 0;
+  for (int i = 0; i < 20; ++i) {
+    const bool sends = !is_bursty || i % 4 == 0;
+    const size_t first = random.NextBelow(fleet.size());
+    const size_t count = 1 + random.NextBelow(fleet.size() - first);
+    fleet.Run(Millis(200 + 3000 * random.NextDouble()), [&] {
+      if (sends) {
+        a.Step(first, count);
+        b.Step(first, count);
+      }
+    });
+    Disturb(fleet, random);
+  }
+  for (const TenantSpec& tenant : tenants) {
+    RC_ASSERT(static_cast<double>(fleet.MaxInWindow(tenant.name)) <=
+              WindowBound(tenant, QuotaBounds()));
+  }
+}
+
+// Guards against tokens of a higher limit that are used after it was lowered.
+RC_GTEST_PROP(FleetQuotaProperty, LoweredLimitBinds, ()) {
+  const auto seed = *rc::gen::arbitrary<uint64_t>();
+  Random random(seed);
+  const TenantSpec high = MakeTenant("t", 40, 100);
+  const TenantSpec low = MakeTenant("t", 5, 2);
+  QuotaFleet fleet({high}, random.Next());
+  const size_t vms = 1 + random.NextBelow(6);
+  for (size_t i = 0; i < vms; ++i) {
+    fleet.Join();
+  }
+  Demand demand(fleet, "t", 200, random);
+  fleet.Run(kSettleTime);
+  const Millis apply_bound{5000};
+  fleet.SetTenants({low}, apply_bound);
+  const Millis from = fleet.now() + apply_bound;
+  fleet.Run(Millis(15'000), [&] { demand.Step(0, vms); });
+  RC_ASSERT(static_cast<double>(fleet.MaxInWindow("t", from)) <=
+            WindowBound(low, QuotaBounds()));
+}
+
+// Guards against work and messages of deployments without limits.
+TEST(FleetQuotaTest, NothingIsSentWithoutLimits) {
+  int sent = 0;
+  FleetQuotaHooks hooks;
+  hooks.send = [&](std::string_view, const QuotaMessage&) { ++sent; };
+  FleetQuota quota("vm-1", 1, QuotaBounds(), hooks, Millis(0));
+  quota.SetTenants(std::vector<TenantSpec>{MakeTenant("t", 0, 0)}, Millis(0));
+  quota.SetLive({"vm-2"}, Millis(0));
+  quota.OnTick(Millis(1000));
+  EXPECT_EQ(sent, 0);
+  EXPECT_FALSE(quota.NextTimer());
+  EXPECT_FALSE(quota.IsLimited("t"));
+}
+
+}  // namespace
+}  // namespace tanagervane
