Ask for a permit before a tenant's request is admitted

A request of a tenant with a limit must not run without a permit of the fleet. The dispatcher asks for one after the first admission check, parks the request while the answer is under way, and refuses it with 429 beyond the allowance or with 503 when no VM can grant a permit. The node sends the messages over the gossip socket. Deployments without limits send none.

--- a/include/tanagervane/fleet/udp_gossip.h
+++ b/include/tanagervane/fleet/udp_gossip.h
@@ -16,6 +16,7 @@
 #include "tanagervane/fleet/replica_gossip.h"
 #include "tanagervane/fleet/revision_gossip.h"
 #include "tanagervane/net/poller.h"
+#include "tanagervane/quota/messages.h"
 #include "tanagervane/routing/quarantine.h"
 #include "tanagervane/state/peer_table.h"
 
@@ -42,6 +43,8 @@
   std::function<RevisionGossip(Millis now)> make_revision_gossip;
   /// A message about changes of the store was accepted.
   std::function<void(const RevisionGossip&)> on_revision_gossip;
+  /// A message about the limits of tenants was accepted.
+  std::function<void(const QuotaMessage&)> on_quota;
 };
 
 /// Sends peer and quarantine records to a few peers in each gossip interval,
@@ -67,6 +70,9 @@
   /// state.
   void Announce(Millis now);
 
+  /// Sends a message to a VM. Does nothing if its address is unknown.
+  void Send(std::string_view vm, const QuotaMessage& message);
+
   uint64_t received() const { return m_received; }
   /// Messages that were malformed or did not come from their sender's address.
   uint64_t rejected() const { return m_rejected; }
--- a/include/tanagervane/fleet/vm_registry.h
+++ b/include/tanagervane/fleet/vm_registry.h
@@ -72,6 +72,9 @@
   /// Empty before the first full read.
   std::optional<size_t> listed_count() const;
 
+  /// Ids of the listed VMs; empty before the first full read.
+  std::vector<std::string> ListedIds() const;
+
   /// The gossip address of a VM; empty when the VM is not listed.
   std::optional<std::string> AddressOf(std::string_view id) const;
 
--- a/include/tanagervane/quota/fleet_quota.h
+++ b/include/tanagervane/quota/fleet_quota.h
@@ -19,6 +19,7 @@
 #include "tanagervane/quota/fleet_census.h"
 #include "tanagervane/quota/messages.h"
 #include "tanagervane/quota/permit_client.h"
+#include "tanagervane/quota/permit_decision.h"
 #include "tanagervane/quota/permit_pool.h"
 #include "tanagervane/quota/share_table.h"
 
@@ -27,22 +28,6 @@
 /// Time between the questions of a pool VM for the shares of the others.
 inline constexpr Millis kShareRoundInterval{500};
 
-enum class PermitState {
-  kGranted,
-  /// The tenant has used its allowance.
-  kRefused,
-  /// Neither the pool VM nor this VM can grant a permit now.
-  kUnavailable,
-  /// FleetQuotaHooks::on_permit follows.
-  kPending,
-};
-
-struct PermitDecision {
-  PermitState state = PermitState::kUnavailable;
-  /// For kRefused and kUnavailable.
-  Millis retry_after;
-};
-
 struct FleetQuotaHooks {
   /// Sends a message to another VM. It may be lost.
   std::function<void(std::string_view vm, const QuotaMessage&)> send;
@@ -61,7 +46,7 @@
 };
 
 /// State of one VM. All times must come from a clock that counts the time in
-/// which the machine is suspended. Hooks must not call back.
+/// which the machine is suspended. Only the hook on_permit may call back.
 class FleetQuota {
  public:
   /// `seed` must differ between processes of the same VM.
@@ -87,8 +72,9 @@
               Millis requested_at,
               Millis now);
 
-  /// Sets the other VMs that gossip considers alive.
-  void SetLive(std::vector<std::string> others, Millis now);
+  /// Sets the other VMs that gossip considers alive and that do not leave.
+  /// While this VM leaves, it is no pool VM.
+  void SetLive(std::vector<std::string> others, bool is_leaving, Millis now);
 
   /// Asks for a permit for one request of a tenant with a limit.
   PermitDecision Ask(uint64_t request, std::string_view tenant, Millis now);
@@ -136,6 +122,9 @@
   void SendRound(Millis now);
   SlotMask PooledSlots() const;
   bool IsInGroup(std::string_view vm) const;
+  /// Whether so few shares of the tenant's slot are here that a lack of tokens
+  /// does not show that the tenant has used its allowance.
+  bool HoldsFewShares(std::string_view tenant, Millis now) const;
 
   void Handle(const std::string& vm, const ShareRequest& request, Millis now);
   void Handle(const std::string& vm, const ShareGrant& grant, Millis now);
@@ -171,6 +160,7 @@
   PermitPool m_pool;
   PermitClient m_client;
   std::vector<std::string> m_live;
+  bool m_is_leaving = false;
   /// The number of VMs for which m_pool_vms was chosen.
   size_t m_group_count = 0;
   /// By slot.
--- a/include/tanagervane/quota/rendezvous.h
+++ b/include/tanagervane/quota/rendezvous.h
@@ -19,6 +19,9 @@
 /// Returns the slot of a tenant.
 size_t SlotOf(std::string_view tenant);
 
+/// Returns the number of groups of a fleet of `count` VMs.
+size_t GroupCount(size_t count);
+
 /// Returns the group of a VM in a fleet of `count` VMs.
 size_t GroupOf(std::string_view vm, size_t count);
 
--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "tanagervane/quota/permit_decision.h"
 #include "tanagervane/routing/quarantine.h"
 #include "tanagervane/routing/types.h"
 #include "tanagervane/serving/admission.h"
@@ -56,6 +57,14 @@
   std::function<void(const std::shared_ptr<ServingReplica>&)> probe;
   /// Ends a health probe that has not been answered in time.
   std::function<void(ServingReplica&)> cancel_probe;
+  /// Asks for a permit for a request of a tenant. If the decision is kPending,
+  /// Dispatcher::OnPermit() must be called. Requests need no permits while the
+  /// hook is empty.
+  std::function<PermitDecision(RequestKey, std::string_view tenant)> ask_permit;
+  /// The decision on the request's permit is no longer needed.
+  std::function<void(RequestKey)> cancel_permit;
+  /// The request was granted a permit and will not run.
+  std::function<void(RequestKey)> return_permit;
   /// Called when a replica becomes unresponsive or answers again.
   std::function<void(ServingReplica&, std::string_view reason)>
       on_health_changed;
@@ -111,6 +120,9 @@
   /// Answers all running requests because the process stops.
   void Stop(Millis now);
 
+  /// Admits or refuses a request that awaits a permit.
+  void OnPermit(RequestKey key, const PermitDecision& decision, Millis now);
+
   void OnReply(uint64_t attempt, ReplicaReply reply, Millis now);
   /// Called before OnFailure() when a response broke off after its header.
   void OnPartialReply(uint64_t attempt, const SelfReport& report, Millis now);
@@ -179,6 +191,8 @@
     uint32_t extra_attempts = 0;
     Millis timer_at;
     std::vector<TraceEvent> trace;
+    /// Not admitted yet. Its timer is at the deadline.
+    bool awaits_permit = false;
   };
 
   struct Attempt {
@@ -220,6 +234,21 @@
               Millis retry_after,
               const PlannedRoute* route);
 
+  /// Runs a request that is admitted.
+  void Start(std::unique_ptr<Request> request,
+             const Admission& admission,
+             Millis now);
+
+  // Permits.
+  /// Returns true if the request needs no permit or was granted one. Otherwise
+  /// refuses the request or parks it until OnPermit().
+  bool ObtainPermit(std::unique_ptr<Request>& request);
+  std::unique_ptr<Request> Unpark(RequestKey key);
+  void RefuseWithoutPermit(const Request& request,
+                           const PermitDecision& decision);
+  void RefuseParked(RequestKey key, AnswerReason reason);
+  void RefuseAllParked(AnswerReason reason);
+
   // Progress. Advance() and FinishIfDue() may delete the request; Finish()
   // always does.
   void Advance(Request& request, Millis now);
--- a/include/tanagervane/serving/exchange.h
+++ b/include/tanagervane/serving/exchange.h
@@ -34,6 +34,8 @@
   std::string forwarded_fields;
   /// Time for which the caller waits for the answer, if it sent one.
   std::optional<Millis> time_left;
+  /// Name of the tenant whose key the caller presented; empty for none.
+  std::string tenant;
 };
 
 /// Classification of a replica's response.
@@ -59,12 +61,13 @@
 
 /// How a request ended.
 enum class AnswerKind {
-  kReply,        ///< A replica's response, forwarded unchanged.
-  kMerged,       ///< The merged shard responses of a fan-out.
-  kRefused,      ///< The request did not run and will not run.
-  kFailed,       ///< No usable response; the request may have run.
-  kTimedOut,     ///< No response before the deadline; the request may have run.
-  kUnknownRoute  ///< The configuration in force has no such route.
+  kReply,     ///< A replica's response, forwarded unchanged.
+  kMerged,    ///< The merged shard responses of a fan-out.
+  kRefused,   ///< The request did not run and will not run.
+  kFailed,    ///< No usable response; the request may have run.
+  kTimedOut,  ///< No response before the deadline; the request may have run.
+  kUnknownRoute,  ///< The configuration in force has no such route.
+  kOverLimit      ///< Beyond the tenant's rate limit; the request will not run.
 };
 
 std::string_view ToString(AnswerKind kind);
@@ -84,7 +87,9 @@
   kNoRetryBudget,  ///< The service's retry budget was spent.
   kTooSlow,        ///< Replicas did not answer in time.
   kStopping,
-  kCallerGone,  ///< The caller cancelled or disconnected.
+  kCallerGone,   ///< The caller cancelled or disconnected.
+  kTenantLimit,  ///< The tenant has used its allowance.
+  kNoPermit,     ///< No VM could grant a permit for the tenant's request.
 };
 
 std::string_view ToString(AnswerReason reason);
@@ -99,7 +104,7 @@
   std::vector<std::string> signatures;
   uint32_t missing_shards = 0;
   std::string records;
-  /// For kRefused: time after which a retry may succeed.
+  /// For kRefused and kOverLimit: time after which a retry may succeed.
   Millis retry_after;
 };
 
--- a/lib/fleet/udp_gossip.cc
+++ b/lib/fleet/udp_gossip.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "tanagervane/fleet/gossip_rounds.h"
+#include "tanagervane/fleet/quota_codec.h"
 #include "tanagervane/net/socket.h"
 #include "tanagervane/support/error.h"
 #include "tanagervane/support/log.h"
@@ -104,6 +105,13 @@
   }
 }
 
+void UdpGossip::Send(std::string_view vm, const QuotaMessage& message) {
+  const KnownAddresses known = FindAddresses(vm);
+  if (const auto& address = known.expected()) {
+    SendTo(*address, EncodeQuotaMessage(message));
+  }
+}
+
 void UdpGossip::SendTo(const std::string& target, std::string_view bytes) {
   const auto address = ParseSocketAddress(target);
   if (!address.ok()) {
@@ -144,6 +152,10 @@
                   source);
     return;
   }
+  if (IsQuotaMessage(bytes)) {
+    ProcessReport(DecodeQuotaMessage(bytes), m_hooks.on_quota, source);
+    return;
+  }
   auto message = DecodeGossip(bytes);
   if (!message.ok()) {
     CountRejected("malformed", source);
--- a/lib/fleet/vm_registry.cc
+++ b/lib/fleet/vm_registry.cc
@@ -59,6 +59,14 @@
   return m_listed->size() + (IsListed() ? 0 : 1);
 }
 
+std::vector<std::string> VmRegistry::ListedIds() const {
+  std::vector<std::string> ids;
+  if (m_listed) {
+    std::ranges::transform(*m_listed, std::back_inserter(ids), &ListedVm::id);
+  }
+  return ids;
+}
+
 std::optional<std::string> VmRegistry::AddressOf(std::string_view id) const {
   if (!m_listed) {
     return std::nullopt;
--- a/lib/quota/fleet_quota.cc
+++ b/lib/quota/fleet_quota.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "tanagervane/quota/rendezvous.h"
+#include "tanagervane/support/random.h"
 
 namespace tanagervane {
 
@@ -34,8 +35,8 @@
       m_bounds(bounds),
       m_hooks(std::move(hooks)),
       m_census(m_self, now),
-      m_client(seed),
-      m_round_nonce(seed),
+      m_client(Random(seed).Next()),
+      m_round_nonce(Random(seed).Next()),
       m_next_round(now),
       m_census_updated_at(now) {
   ChoosePools(now);
@@ -91,7 +92,9 @@
       m_last_permit = {request, std::string(tenant), "", 0, now};
       return {PermitState::kGranted, {}};
     case PermitResult::kRefused:
-      return Refuse(tenant, reply.retry_after, now);
+      return HoldsFewShares(tenant, now)
+                 ? Unavailable()
+                 : Refuse(tenant, reply.retry_after, now);
     case PermitResult::kNoShare:
       break;
   }
@@ -153,7 +156,13 @@
 void FleetQuota::Handle(const std::string& vm,
                         const PermitRequest& request,
                         Millis now) {
-  Send(vm, m_pool.TakeFor(vm, request, UsableShare(request.tenant, now), now));
+  PermitReply reply =
+      m_pool.TakeFor(vm, request, UsableShare(request.tenant, now), now);
+  if (reply.result == PermitResult::kRefused &&
+      HoldsFewShares(request.tenant, now)) {
+    reply.result = PermitResult::kNoShare;
+  }
+  Send(vm, reply);
 }
 
 void FleetQuota::Handle(const std::string& vm,
--- a/lib/quota/fleet_quota_shares.cc
+++ b/lib/quota/fleet_quota_shares.cc
@@ -18,6 +18,10 @@
 /// The owned share is updated at least this often while it is used.
 constexpr Millis kCensusInterval{100};
 
+/// A pool VM with a smaller part of its group's shares may be cut off from the
+/// others, or has just taken over the slot.
+constexpr double kMinGroupShare = 0.5;
+
 constexpr SlotMask MaskOf(size_t slot) {
   return SlotMask{1} << slot;
 }
@@ -32,24 +36,36 @@
   UpdateOwnedShare(now);
 }
 
-void FleetQuota::SetLive(std::vector<std::string> others, Millis now) {
-  if (others != m_live) {
+void FleetQuota::SetLive(std::vector<std::string> others,
+                         bool is_leaving,
+                         Millis now) {
+  if (others != m_live || is_leaving != m_is_leaving) {
     m_live = std::move(others);
+    m_is_leaving = is_leaving;
     ChoosePools(now);
   }
 }
 
 void FleetQuota::ChoosePools(Millis now) {
   m_group_count = m_census.Count(now);
-  std::vector<std::string> members{m_self};
+  std::vector<std::string> members;
   for (const std::string& vm : m_live) {
     if (IsInGroup(vm)) {
       members.push_back(vm);
     }
   }
+  if (!m_is_leaving || members.empty()) {
+    members.push_back(m_self);
+  }
   m_pool_vms = ChoosePoolVms(members);
 }
 
+bool FleetQuota::HoldsFewShares(std::string_view tenant, Millis now) const {
+  return UsableShare(tenant, now) *
+             static_cast<double>(GroupCount(m_group_count)) <
+         kMinGroupShare;
+}
+
 bool FleetQuota::IsInGroup(std::string_view vm) const {
   return GroupOf(vm, m_group_count) == GroupOf(m_self, m_group_count);
 }
--- a/lib/quota/rendezvous.cc
+++ b/lib/quota/rendezvous.cc
@@ -25,10 +25,13 @@
   return Mix(StableHash(tenant)) % kQuotaSlots;
 }
 
+size_t GroupCount(size_t count) {
+  return count <= kMaxUndividedFleet ? 1
+                                     : (count + kGroupSize - 1) / kGroupSize;
+}
+
 size_t GroupOf(std::string_view vm, size_t count) {
-  const size_t groups =
-      count <= kMaxUndividedFleet ? 1 : (count + kGroupSize - 1) / kGroupSize;
-  return Mix(StableHash(vm)) % groups;
+  return Mix(StableHash(vm)) % GroupCount(count);
 }
 
 std::vector<std::string> ChoosePoolVms(std::span<const std::string> members) {
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -57,6 +57,10 @@
 }
 
 void Dispatcher::Advance(Request& request, Millis now) {
+  if (request.awaits_permit) {
+    RefuseParked(request.key, AnswerReason::kExpired);
+    return;
+  }
   for (size_t i = 0; i < request.sub_requests.size(); ++i) {
     AdvanceSubRequest(request, i, now);
   }
--- a/lib/serving/dispatcher_admission.cc
+++ b/lib/serving/dispatcher_admission.cc
@@ -90,6 +90,15 @@
            admission.retry_after, route);
     return;
   }
+  request->caller_request = std::move(caller_request);
+  if (ObtainPermit(request)) {
+    Start(std::move(request), admission, now);
+  }
+}
+
+void Dispatcher::Start(std::unique_ptr<Request> request,
+                       const Admission& admission,
+                       Millis now) {
   for (const size_t index : admission.skipped) {
     Skip(*request, index, TraceEvent::Type::kSkipped,
          AnswerReason::kOverloaded);
@@ -98,10 +107,9 @@
     Skip(*request, index, TraceEvent::Type::kRateLimited,
          AnswerReason::kRateLimited);
   }
-  request->caller_request = std::move(caller_request);
   Request& running = *request;
-  m_requests[key] = std::move(request);
-  m_timers.emplace(running.timer_at.count(), key);
+  m_requests[running.key] = std::move(request);
+  m_timers.emplace(running.timer_at.count(), running.key);
   Advance(running, now);
 }
 
--- a/lib/serving/dispatcher_answers.cc
+++ b/lib/serving/dispatcher_answers.cc
@@ -135,6 +135,9 @@
     return;
   }
   Request& request = *it->second;
+  if (request.awaits_permit) {
+    m_hooks.cancel_permit(key);
+  }
   m_timers.erase({request.timer_at.count(), request.key});
   const auto node = m_requests.extract(it);
   ReleaseAttempts(request, now, ReleaseCause::kAbandoned);
@@ -144,6 +147,7 @@
 }
 
 void Dispatcher::Stop(Millis now) {
+  RefuseAllParked(AnswerReason::kStopping);
   while (!m_requests.empty()) {
     Request& request = *m_requests.begin()->second;
     for (size_t i = 0; i < request.sub_requests.size(); ++i) {
--- a/lib/serving/exchange.cc
+++ b/lib/serving/exchange.cc
@@ -16,6 +16,8 @@
       return "failed";
     case AnswerKind::kTimedOut:
       return "timed_out";
+    case AnswerKind::kOverLimit:
+      return "over_limit";
     case AnswerKind::kUnknownRoute:
       break;
   }
@@ -50,6 +52,10 @@
       return "too_slow";
     case AnswerReason::kStopping:
       return "stopping";
+    case AnswerReason::kTenantLimit:
+      return "tenant_limit";
+    case AnswerReason::kNoPermit:
+      return "no_permit";
     case AnswerReason::kCallerGone:
       break;
   }
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -175,10 +175,12 @@
       m_directory(m_peers, incarnation),
       m_gossip(m_poller, m_peers, m_quarantine, GossipHooks()),
       m_registry(m_settings.id, RegistryHooks()),
+      m_quota(MakeQuota(incarnation)),
       m_started_at(Poller::Now()) {
   m_settings.retries.full_slack_from = m_started_at + m_settings.retries.window;
   m_poller.SetAlarmHook([this] {
     m_dispatcher.OnTick(Poller::Now());
+    TickQuota();
     UpdateTimer();
   });
 }
@@ -311,6 +313,7 @@
       m_connections.CloseIdle(replica);
     }
   };
+  AddQuotaHooks(hooks);
   return hooks;
 }
 
@@ -427,7 +430,11 @@
 }
 
 void Node::UpdateTimer() {
-  if (const auto next = m_dispatcher.NextTimer()) {
+  std::optional<Millis> next = m_dispatcher.NextTimer();
+  if (const auto quota = NextQuotaTimer()) {
+    next = next ? std::min(*next, *quota) : quota;
+  }
+  if (next) {
     m_poller.SetAlarm(*next);
   }
 }
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -19,6 +20,7 @@
 #include "tanagervane/net/event_loop.h"
 #include "tanagervane/net/http_listener.h"
 #include "tanagervane/net/poller.h"
+#include "tanagervane/quota/fleet_quota.h"
 #include "tanagervane/routing/quarantine.h"
 #include "tanagervane/serving/dispatcher.h"
 #include "tanagervane/serving/replica_set.h"
@@ -98,6 +100,20 @@
   /// Copies the statistics of the components into the metrics.
   void UpdateMetrics();
 
+  // Limits of tenants.
+  std::unique_ptr<FleetQuota> MakeQuota(uint64_t incarnation);
+  void AddQuotaHooks(DispatcherHooks& hooks);
+  void OnQuotaMessage(const QuotaMessage& message);
+  void TickQuota();
+  std::optional<Millis> NextQuotaTimer() const;
+  void ReloadQuota(const NodeSettings& settings);
+  void ApplyTenants(const ServingConfig& config);
+  void OnVmListRequested();
+  void UpdateQuotaList();
+  void UpdateQuotaPeers(std::span<const PeerTable::Peer> peers);
+  void LogOwnedShare();
+  void UpdateQuotaMetrics(MetricsRegistry& metrics);
+
   // Timers.
   void EnforceTimeouts();
   void UpdateTimer();
@@ -120,6 +136,10 @@
   EntryDirectory m_directory;
   UdpGossip m_gossip;
   VmRegistry m_registry;
+  std::unique_ptr<FleetQuota> m_quota;
+  /// By the clock of m_quota.
+  Millis m_vm_list_requested_at;
+  double m_logged_share = 0;
   std::unique_ptr<StoreClient> m_store;
   std::unique_ptr<KindWatcher> m_config_watcher;
   std::unique_ptr<KindWatcher> m_replica_watcher;
--- a/tools/tanagervane-node/node_lifecycle.cc
+++ b/tools/tanagervane-node/node_lifecycle.cc
@@ -27,6 +27,7 @@
   m_settings.retries = settings.retries;
   m_settings.retries.full_slack_from = m_started_at + settings.retries.window;
   m_replicas.SetDrainTimeout(settings.drain_bound);
+  ReloadQuota(settings);
   m_settings.stop_grace = settings.stop_grace;
   m_settings.address_lifetime = settings.address_lifetime;
   m_settings.max_descriptors = settings.max_descriptors;
--- a/tools/tanagervane-node/node_metrics.cc
+++ b/tools/tanagervane-node/node_metrics.cc
@@ -44,6 +44,7 @@
                              double value) {
     metrics.GetGauge(name, help).Set(value);
   };
+  UpdateQuotaMetrics(metrics);
   set_gauge("tanagervane_running_requests", "Requests without an answer.",
             static_cast<double>(m_dispatcher.running_requests()));
   set_gauge("tanagervane_caller_connections", "Open connections of callers.",
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -103,7 +103,9 @@
           [this](const RevisionGossip& message) {
             ApplyReports(message.config, m_config_times, *m_config_watcher);
             ApplyReports(message.replicas, m_replica_times, *m_replica_watcher);
-          }};
+          },
+      .on_quota =
+          [this](const QuotaMessage& message) { OnQuotaMessage(message); }};
 }
 
 void Node::ApplyReports(std::span<const RevisionReport> reports,
@@ -203,6 +205,7 @@
       .Field("routes", config->routes.size())
       .Field("services", config->services.size());
   ApplyLimits(config->limits);
+  ApplyTenants(*config);
   m_peers.SetDocumentRevision(config->version);
   UpdateState();
 }
@@ -266,6 +269,9 @@
   };
   hooks.list = [this](std::string_view after, Freshness freshness,
                       VmRegistryHooks::PageDone done) {
+    if (after.empty()) {
+      OnVmListRequested();
+    }
     m_store->List(StoreKind::kVms, after, freshness,
                   [this, done = std::move(done)](StoreResult result,
                                                  const StorePage& page) {
@@ -288,6 +294,7 @@
 
 void Node::OnRegistryRead() {
   m_peers.SetSeedAddresses(m_registry.OtherAddresses());
+  UpdateQuotaList();
   m_gossip.Announce(Poller::Now());
   OnMembershipChange();
 }
@@ -295,6 +302,7 @@
 void Node::OnMembershipChange() {
   const Millis now = Poller::Now();
   const std::vector<PeerTable::Peer> peers = m_peers.Peers(now);
+  UpdateQuotaPeers(peers);
   FleetView view;
   view.live += static_cast<size_t>(
       std::ranges::count_if(peers, [](const PeerTable::Peer& peer) {
--- a/unittests/quota/fleet_quota_test.cc
+++ b/unittests/quota/fleet_quota_test.cc
@@ -281,7 +281,7 @@
   hooks.send = [&](std::string_view, const QuotaMessage&) { ++sent; };
   FleetQuota quota("vm-1", 1, QuotaBounds(), hooks, Millis(0));
   quota.SetTenants(std::vector<TenantSpec>{MakeTenant("t", 0, 0)}, Millis(0));
-  quota.SetLive({"vm-2"}, Millis(0));
+  quota.SetLive({"vm-2"}, false, Millis(0));
   quota.OnTick(Millis(1000));
   EXPECT_EQ(sent, 0);
   EXPECT_FALSE(quota.NextTimer());
--- a/unittests/quota/quota_fleet.h
+++ b/unittests/quota/quota_fleet.h
@@ -216,7 +216,7 @@
       ReadList(vm);
     }
     if (static_cast<int64_t>(m_now.count()) % 50 == 0) {
-      vm.quota->SetLive(LiveOthers(vm), m_now);
+      vm.quota->SetLive(LiveOthers(vm), false, m_now);
     }
     if (const auto next = vm.quota->NextTimer(); next && *next <= m_now) {
       vm.quota->OnTick(m_now);
--- a/unittests/serving/dispatcher_harness.h
+++ b/unittests/serving/dispatcher_harness.h
@@ -87,6 +87,7 @@
     request->host = "h";
     request->target = target;
     request->time_left = time_left;
+    request->tenant = tenant;
     dispatcher.Submit(last_key, request, now);
     return last_key;
   }
@@ -139,6 +140,13 @@
   std::vector<std::shared_ptr<ServingReplica>> probes;
   size_t cancelled_probes = 0;
   size_t reports = 0;
+  /// Tenant of the requests that are submitted.
+  std::string tenant;
+  /// The answer to questions for permits.
+  PermitDecision permit{PermitState::kGranted, {}};
+  std::vector<RequestKey> asked_permits;
+  std::vector<RequestKey> cancelled_permits;
+  std::vector<RequestKey> returned_permits;
   RequestKey last_key = 0;
   Quarantine quarantine{true, 3};
   ReplicaSet replicas;
@@ -162,6 +170,16 @@
       probes.push_back(replica);
     };
     hooks.cancel_probe = [this](ServingReplica&) { ++cancelled_probes; };
+    hooks.ask_permit = [this](RequestKey key, std::string_view) {
+      asked_permits.push_back(key);
+      return permit;
+    };
+    hooks.cancel_permit = [this](RequestKey key) {
+      cancelled_permits.push_back(key);
+    };
+    hooks.return_permit = [this](RequestKey key) {
+      returned_permits.push_back(key);
+    };
     hooks.on_health_changed = [](ServingReplica&, std::string_view) {};
     return hooks;
   }
