--- a/include/tanagervane/state/store_types.h
+++ b/include/tanagervane/state/store_types.h
@@ -65,6 +65,9 @@
   uint64_t revision = 0;
   /// Why elements of the page were left out: their names cannot be read.
   std::vector<absl::Status> unreadable = {};
+  /// The store's era: it increases whenever the store was restored from an
+  /// earlier copy. Revisions of different eras are not comparable.
+  uint64_t era = 0;
 };
 
 struct StoreEvent {
@@ -78,6 +81,8 @@
   uint64_t revision = 0;
   /// Why events were left out: the names of their objects cannot be read.
   std::vector<absl::Status> unreadable = {};
+  /// The store's era, as in StorePage.
+  uint64_t era = 0;
 };
 
 }  // namespace tanagervane
