Renumber the buckets of a retry budget when its window changes

Buckets are numbered by time divided by their width, so a longer window made the number of the present bucket smaller than that of the last one: the last bucket stayed in use and nothing expired. A shorter window cleared all counts. Counts now move into buckets of the new width, requests as early and extra attempts as late as the old buckets allow.

The new unit test failed before (425 extra attempts where 220 are allowed, 850 where 440 are) and passes now.

--- a/include/tanagervane/serving/retry_budget.h
+++ b/include/tanagervane/serving/retry_budget.h
@@ -56,6 +56,8 @@
   };
 
   void Advance(Millis now);
+  /// Moves the counts into buckets of another width.
+  void ChangeBucketWidth(Millis width, Millis now);
   double PermittedExtraAttempts(Millis now) const;
   uint32_t SpentExtraAttempts() const;
 
@@ -65,6 +67,8 @@
   /// position of the sliding window is covered.
   std::array<Bucket, kBuckets + 1> m_buckets{};
   int64_t m_current_bucket = -1;
+  /// Bucket `i` begins at `i` times this width.
+  Millis m_bucket_width;
 };
 
 }  // namespace tanagervane
--- a/lib/serving/retry_budget.cc
+++ b/lib/serving/retry_budget.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace tanagervane {
 
@@ -20,6 +21,10 @@
 /// Fraction of the budget that hedges may spend.
 constexpr double kHedgeFraction = 0.75;
 
+int64_t BucketAt(Millis time, Millis width) {
+  return static_cast<int64_t>(std::floor(time / width));
+}
+
 }  // namespace
 
 void RetryBudget::SetLimits(const RetryLimits& limits, double share) {
@@ -27,9 +32,41 @@
   m_share = std::clamp(share, 0.0, 1.0);
 }
 
+void RetryBudget::ChangeBucketWidth(Millis width, Millis now) {
+  const Millis old_width = std::exchange(m_bucket_width, width);
+  if (m_current_bucket < 0) {
+    return;
+  }
+  const auto size = static_cast<int64_t>(m_buckets.size());
+  const auto old_buckets = std::exchange(m_buckets, {});
+  const int64_t old_current = m_current_bucket;
+  m_current_bucket = BucketAt(now, width);
+  const auto find = [&](Millis time) {
+    const int64_t bucket = std::min(BucketAt(time, width), m_current_bucket);
+    return bucket > m_current_bucket - size && bucket >= 0
+               ? &m_buckets[static_cast<size_t>(bucket % size)]
+               : nullptr;
+  };
+  for (int64_t i = std::max<int64_t>(0, old_current - size + 1);
+       i <= old_current; ++i) {
+    const Bucket& counts = old_buckets[static_cast<size_t>(i % size)];
+    // The exact times are not known. Counting requests as early and extra
+    // attempts as late as possible never permits too many.
+    if (Bucket* bucket = find(old_width * static_cast<double>(i))) {
+      bucket->requests += counts.requests;
+    }
+    if (Bucket* bucket = find(old_width * static_cast<double>(i + 1))) {
+      bucket->extra_attempts += counts.extra_attempts;
+    }
+  }
+}
+
 void RetryBudget::Advance(Millis now) {
-  const Millis bucket_width = m_limits.window * (1.0 / kBuckets);
-  const auto bucket = static_cast<int64_t>(std::floor(now / bucket_width));
+  const Millis width = m_limits.window * (1.0 / kBuckets);
+  if (width != m_bucket_width) {
+    ChangeBucketWidth(width, now);
+  }
+  const int64_t bucket = BucketAt(now, width);
   if (m_current_bucket < 0 ||
       bucket - m_current_bucket > static_cast<int64_t>(m_buckets.size())) {
     m_buckets.fill({});
--- a/unittests/serving/components_test.cc
+++ b/unittests/serving/components_test.cc
@@ -149,6 +149,41 @@
   EXPECT_TRUE(retry_budget.TrySpend(ExtraAttemptKind::kRetry, Millis(12000)));
 }
 
+// Guards against counts that never expire, or that are lost, when a change of
+// the settings alters the window.
+TEST(RetryBudgetTest, ChangedWindowKeepsCountsAndExpiresThem) {
+  for (const double new_window : {2500.0, 5000.0, 10000.0, 20000.0}) {
+    RetryBudget retry_budget;
+    RetryLimits limits = {.ratio = 0.2,
+                          .slack = 0,
+                          .window = Millis(5000),
+                          .full_slack_from = Millis(0)};
+    retry_budget.SetLimits(limits, 1);
+    const auto spend_all = [&retry_budget](Millis now) {
+      int spent = 0;
+      while (retry_budget.TrySpend(ExtraAttemptKind::kRetry, now)) {
+        ++spent;
+      }
+      return spent;
+    };
+    Millis now(0);
+    for (; now < Millis(30'000); now += Millis(10)) {
+      retry_budget.CreditSubRequest(now);
+    }
+    EXPECT_GT(spend_all(now), 0);
+    limits.window = Millis(new_window);
+    retry_budget.SetLimits(limits, 1);
+    EXPECT_EQ(spend_all(now), 0) << new_window;
+    const Millis changed_at = now;
+    for (; now < changed_at + Millis(2.5 * new_window); now += Millis(10)) {
+      retry_budget.CreditSubRequest(now);
+    }
+    // The current bucket and one whole window before it count.
+    EXPECT_LE(spend_all(now), 0.2 * 1.1 * new_window / 10) << new_window;
+    EXPECT_EQ(spend_all(now + limits.window * 1.2), 0) << new_window;
+  }
+}
+
 TEST(LatencyWindowTest, QuantilesFollowTheLatestSamples) {
   LatencyWindow window(Millis(50));
   EXPECT_EQ(window.median(), Millis(50));
