Check that the store answers soon after a watch of the latest state began

The store never answers a watch that it received while it was unresponsive. Such a watch was noticed only after 16.5 s, TCP keep-alive probes are answered, and the watches of all VMs began at the same time, so nobody read changes for up to 13 s after the store was back.

100 ms after a watch of the latest state a read follows that waits for nothing; if it is not answered within the timeout of a call (2 s), the objects are listed again. The read is stale where stale reads are allowed, at a tenth of the cost. Stale watches are not checked: gossip detects those that lack a change. Lists and writes, including those of the VM registry, have had a timeout of 2 s before.

Before the change three new unit tests and test_removal_after_a_silence failed (a request 3.38 s after the removal); now all pass. The process test with stale reads passed before as well.

--- a/include/tanagervane/state/kind_watcher.h
+++ b/include/tanagervane/state/kind_watcher.h
@@ -119,6 +119,11 @@
   void ApplyEvents(const StoreEvents& events);
   void OnPage(StoreResult result, StorePage page);
   void Watch();
+  /// Reads without waiting, soon after a watch of the latest state began. The
+  /// store never answers a watch that it received while it was unresponsive,
+  /// and a watch may be silent for long because nothing changes; this read must
+  /// be answered at once.
+  void ProbeAfterWatch();
   void OnWatchEvents(StoreResult result, const StoreEvents& events);
   /// `revision` is that of the response that contains the event.
   void ApplyEvent(const StoreEvent& event, uint64_t revision);
@@ -152,6 +157,9 @@
   std::optional<Millis> m_lagging_since;
   /// Incremented to ignore the completions of earlier calls.
   uint64_t m_generation = 0;
+  /// Number of the latest watch, so that the check of an earlier one is
+  /// dropped.
+  uint64_t m_watch_count = 0;
   /// Revision of each object. A late event with a lower revision is ignored.
   std::unordered_map<std::string, uint64_t> m_object_revisions;
 };
--- /dev/null
+++ b/integration/test_silent_store.py
@@ -0,0 +1,72 @@
+"""A store that accepts calls for some seconds and never answers them."""
+
+import concurrent.futures
+import time
+import unittest
+
+from node_test_case import NodeTestCase
+from platform_cluster import call_node, wait_for_fleet
+
+SILENCE_S = 2.8
+# The changes of registrations that the store acknowledges this long after it
+# responds again must take effect in time.
+RECOVERY_S = 5.0
+DRAIN_S = 3.0
+# Changes are gathered for half a second before the next watch begins.
+BEFORE_NEXT_WATCH_S = 0.2
+# The nodes have taken up their roles, and all watches that they began earlier
+# have ended.
+SETTLED_S = 5.0
+BURST = 16
+
+
+class SilentStoreTest(NodeTestCase):
+
+    def burst(self, node):
+        """Sends requests at once, more than the replicas in use can take, so
+        that the node uses all replicas that it knows."""
+        with concurrent.futures.ThreadPoolExecutor(BURST) as pool:
+            list(pool.map(lambda _: call_node(node, "/one/x", "POST", b"x"),
+                          range(BURST)))
+
+    def play(self, stale_s):
+        store = self.platform.store
+        store.stale_s = stale_s
+        self.platform.add_replicas("desk", 1)
+        leaving = self.platform.replicas["desk"][0]
+        for replica in self.platform.replicas["desk"]:
+            replica.slots = 1
+            replica.work_ms = 300
+            replica.register()
+        time.sleep(stale_s)
+        self.start_nodes(2)
+        wait_for_fleet(self.nodes)
+        time.sleep(SETTLED_S)
+        # All nodes begin a watch while the store is silent.
+        self.platform.add_replicas("desk", 1)
+        time.sleep(BEFORE_NEXT_WATCH_S)
+        store.silent = True
+        time.sleep(SILENCE_S)
+        store.silent = False
+        time.sleep(RECOVERY_S)
+        store.delete("servers", leaving.name)
+        removed_at = time.monotonic()
+        time.sleep(DRAIN_S + 0.05)
+        for node in self.nodes:
+            self.burst(node)
+        late = [at - removed_at for at in leaving.arrival_times
+                if at > removed_at + DRAIN_S]
+        self.assertEqual(late, [])
+
+    def test_removal_after_a_silence(self):
+        """Guards against watches that began during the silence and wait in
+        vain: requests then reach a replica that was removed."""
+        self.play(0)
+
+    def test_removal_after_a_silence_with_stale_reads(self):
+        """As above, where most reads show the state of some seconds ago."""
+        self.play(2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/lib/state/kind_watcher.cc
+++ b/lib/state/kind_watcher.cc
@@ -11,6 +11,11 @@
 /// time.
 constexpr double kBackoffJitter = 0.5;
 
+/// Time between the start of a watch and the read that checks whether the store
+/// answers. An answer shows that the store received the watch while it was
+/// responsive.
+constexpr Millis kWatchProbeDelay{100};
+
 }  // namespace
 
 std::string_view ToString(StoreResult result) {
@@ -137,6 +142,31 @@
       OnWatchEvents(result, events);
     }
   });
+  // A stale watch without an answer is detected by the gossip of the VMs that
+  // watch the latest state; only these spend calls on the check.
+  if (request.freshness == Freshness::kLatest) {
+    m_hooks.run_after(kWatchProbeDelay, [this, generation = m_generation,
+                                         watch = ++m_watch_count] {
+      if (generation == m_generation && watch == m_watch_count) {
+        ProbeAfterWatch();
+      }
+    });
+  }
+}
+
+void KindWatcher::ProbeAfterWatch() {
+  // A stale read costs the store least, and an unresponsive store answers none.
+  const WatchRequest request{.revision = m_watch_revision,
+                             .freshness = ListFreshness(),
+                             .wait = false};
+  m_hooks.watch(request,
+                [this, generation = m_generation, watch = m_watch_count](
+                    StoreResult result, const StoreEvents&) {
+                  if (generation == m_generation && watch == m_watch_count &&
+                      result == StoreResult::kUnavailable) {
+                    RelistAfterBackoff(result);
+                  }
+                });
 }
 
 void KindWatcher::ReadLatestChanges() {
--- a/unittests/state/kind_watcher_test.cc
+++ b/unittests/state/kind_watcher_test.cc
@@ -195,6 +195,48 @@
   EXPECT_TRUE(m_lists.empty());
 }
 
+// Guards against a watch that the store received while it was unresponsive, and
+// therefore never answers, and that is noticed only when its wait is over.
+TEST_F(KindWatcherTest, UnansweredWatchIsNoticedByAShortRead) {
+  m_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  ASSERT_TRUE(m_watch_request.wait);
+  RunTasks();
+  ASSERT_EQ(m_watches.size(), 2u);
+  EXPECT_FALSE(m_watch_request.wait);
+  EXPECT_EQ(m_watch_request.revision, 10u);
+  // The first watch hangs and the short read times out.
+  m_watches.erase(m_watches.begin());
+  AnswerWatch(StoreResult::kUnavailable);
+  EXPECT_FALSE(m_watcher.reachable());
+  RunTasks();
+  ASSERT_EQ(m_lists.size(), 1u);
+  AnswerList(StoreResult::kOk, Page({{"a", 12, {}}}, 12));
+  EXPECT_EQ(m_objects.at("a"), 12u);
+  EXPECT_TRUE(m_watcher.reachable());
+}
+
+// Guards against a check that disturbs a watch in progress, or that concerns a
+// watch that has ended.
+TEST_F(KindWatcherTest, AnsweredShortReadLeavesTheWatchInPlace) {
+  m_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  RunTasks();
+  ASSERT_EQ(m_watches.size(), 2u);
+  std::swap(m_watches[0], m_watches[1]);
+  AnswerWatch(StoreResult::kOk, {{{{"b", 11, {}}, false}}, 11});
+  EXPECT_EQ(m_watches.size(), 1u);
+  EXPECT_TRUE(m_reachable_calls.empty());
+  AnswerWatch(StoreResult::kOk, {{{{"b", 11, {}}, false}}, 11});
+  EXPECT_TRUE(m_objects.contains("b"));
+  ASSERT_EQ(m_watches.size(), 1u);
+  // The next watch ends before its check.
+  AnswerWatch(StoreResult::kOk, {{}, 11});
+  ASSERT_EQ(m_tasks.size(), 2u);
+  RunTasks();
+  EXPECT_EQ(m_watches.size(), 2u) << "only the watch in progress is checked";
+}
+
 class StaleReadsTest : public KindWatcherTest {
  protected:
   KindWatcher m_stale_watcher{{.stale_reads = true}, Hooks(), 1};
@@ -222,6 +264,19 @@
   EXPECT_EQ(m_watch_request.revision, 12u);
 }
 
+// Guards against expensive checks of watches: the check may be stale, and only
+// the VMs that watch the latest state make it.
+TEST_F(StaleReadsTest, ChecksOfWatchesAreCheap) {
+  m_stale_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  EXPECT_TRUE(m_tasks.empty());
+  m_stale_watcher.SetWatchesLatest(true);
+  RunTasks();
+  ASSERT_EQ(m_watches.size(), 3u);
+  EXPECT_FALSE(m_watch_request.wait);
+  EXPECT_EQ(m_watch_request.freshness, Freshness::kStale);
+}
+
 // Fails if a change that a stale watch lacks is not read in time, or is read
 // with a complete list.
 TEST_F(StaleReadsTest, LaggingWatchReadsLatestChanges) {
