Rename the document's TenantSpec to TenantShare

The document model and lib/identity each define tanagervane::TenantSpec with other members. tanagervane-node links both libraries, so their implicit inline functions, such as the destructor of a vector of them, would be merged by the linker. The document's type holds a name and a share and gets a name that says so.

--- a/include/tanagervane/document/document.h
+++ b/include/tanagervane/document/document.h
@@ -62,11 +62,11 @@
 };
 
 /// A tenant and its weight in fair queueing, relative to the other tenants.
-struct TenantSpec {
+struct TenantShare {
   std::string name;
   uint32_t share = 1;
 
-  bool operator==(const TenantSpec&) const = default;
+  bool operator==(const TenantShare&) const = default;
 };
 
 /// The parsed and validated document.
@@ -76,11 +76,11 @@
   uint32_t entries = 4;
   std::vector<IndexSpec> indexes;
   std::vector<ClassSpec> classes;
-  std::vector<TenantSpec> tenants;
+  std::vector<TenantShare> tenants;
 
   const IndexSpec* FindIndex(std::string_view name) const;
   const ClassSpec* FindClass(std::string_view name) const;
-  const TenantSpec* FindTenant(std::string_view name) const;
+  const TenantShare* FindTenant(std::string_view name) const;
 
   bool operator==(const Document&) const = default;
 };
--- a/include/tanagervane/query/admission_queue.h
+++ b/include/tanagervane/query/admission_queue.h
@@ -37,7 +37,7 @@
 
   /// Replaces the shares of all tenants. A tenant that is not listed gets the
   /// smallest listed share.
-  void SetShares(std::span<const TenantSpec> tenants);
+  void SetShares(std::span<const TenantShare> tenants);
 
   /// Sets how many fan-outs may run at the same time. Values below 1 count as
   /// 1.
--- a/lib/document/document.cc
+++ b/lib/document/document.cc
@@ -23,7 +23,7 @@
   return FindByName(classes, name);
 }
 
-const TenantSpec* Document::FindTenant(std::string_view name) const {
+const TenantShare* Document::FindTenant(std::string_view name) const {
   return FindByName(tenants, name);
 }
 
--- a/lib/document/json.cc
+++ b/lib/document/json.cc
@@ -58,7 +58,7 @@
   return json;
 }
 
-nlohmann::ordered_json ToJson(const TenantSpec& tenant) {
+nlohmann::ordered_json ToJson(const TenantShare& tenant) {
   return {{"name", tenant.name}, {"share", tenant.share}};
 }
 
--- a/lib/document/json.h
+++ b/lib/document/json.h
@@ -15,7 +15,7 @@
 
 nlohmann::ordered_json ToJson(const IndexSpec& index);
 nlohmann::ordered_json ToJson(const ClassSpec& spec);
-nlohmann::ordered_json ToJson(const TenantSpec& tenant);
+nlohmann::ordered_json ToJson(const TenantShare& tenant);
 
 }  // namespace tanagervane
 
--- a/lib/document/parser.cc
+++ b/lib/document/parser.cc
@@ -297,8 +297,8 @@
   return spec;
 }
 
-TenantSpec ReadTenant(ObjectReader& object) {
-  TenantSpec tenant;
+TenantShare ReadTenant(ObjectReader& object) {
+  TenantShare tenant;
   object.CheckKeys({"name", "share"});
   object.ReadName("name", tenant.name);
   object.ReadPositiveInteger("share", kMaxShare, Presence::kOptional,
--- a/lib/query/admission_queue.cc
+++ b/lib/query/admission_queue.cc
@@ -5,10 +5,10 @@
 
 namespace tanagervane {
 
-void AdmissionQueue::SetShares(std::span<const TenantSpec> tenants) {
+void AdmissionQueue::SetShares(std::span<const TenantShare> tenants) {
   m_shares.clear();
   m_min_share = std::numeric_limits<uint32_t>::max();
-  for (const TenantSpec& tenant : tenants) {
+  for (const TenantShare& tenant : tenants) {
     const uint32_t share = std::max<uint32_t>(1, tenant.share);
     m_shares[tenant.name] = share;
     m_min_share = std::min(m_min_share, share);
--- a/unittests/query/admission_queue_test.cc
+++ b/unittests/query/admission_queue_test.cc
@@ -11,7 +11,7 @@
 // requests.
 TEST(AdmissionQueueTest, TenantsAreServedByShare) {
   AdmissionQueue queue;
-  queue.SetShares(std::vector<TenantSpec>{{"big", 3}, {"small", 1}});
+  queue.SetShares(std::vector<TenantShare>{{"big", 3}, {"small", 1}});
   queue.SetConcurrencyLimit(1);
   ASSERT_TRUE(queue.TryAdmit(Urgency::kUrgent));
   for (uint64_t i = 0; i < 100; ++i) {
