Decide on callers' keys and pass tenants on to replicas

A configuration may list tenants with keys; until now the keys were forwarded to replicas and decided nothing. lib/identity holds the lookup and the decision, ServingPlan the directory of its version. Dispatcher::Submit() takes the presented key as an argument of its own, refuses requests without a known key on routes that are not public, and sets CallerRequest::tenant. CheckHeader() decides the same from a request's header alone. A tenant's priority precedes the route's.

An unknown key is rejected only while the store responds to the VM and no live VM reports a later configuration; otherwise the request is refused as not run.

--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "tanagervane/identity/identity.h"
 #include "tanagervane/routing/quarantine.h"
 #include "tanagervane/routing/types.h"
 #include "tanagervane/serving/admission.h"
@@ -59,6 +60,9 @@
   /// Called when a replica becomes unresponsive or answers again.
   std::function<void(ServingReplica&, std::string_view reason)>
       on_health_changed;
+  /// Returns how far the configuration in force can be relied on. Without this
+  /// hook it is always up to date.
+  std::function<ConfigCertainty(Millis now)> config_certainty;
 };
 
 struct DispatcherStats {
@@ -94,10 +98,19 @@
   /// The configuration in force, or nullptr.
   const ServingPlan* plan() const { return m_plan.get(); }
 
-  /// Starts a request. The `answer` hook may be called before this returns.
+  /// Starts a request and sets its tenant. The `answer` hook may be called
+  /// before this returns. `presented_key` is not kept.
   void Submit(RequestKey key,
-              std::shared_ptr<const CallerRequest> caller_request,
-              Millis now);
+              std::shared_ptr<CallerRequest> caller_request,
+              Millis now,
+              const PresentedKey& presented_key = {});
+
+  /// Returns the answer to a request whose header suffices to refuse it: no
+  /// configuration, no route, or no identity. Reports the refusal like that of
+  /// a submitted request. `header` has no body yet.
+  std::optional<FinalAnswer> CheckHeader(const CallerRequest& header,
+                                         const PresentedKey& presented_key,
+                                         Millis now);
 
   /// Called when the caller cancels or disconnects. Attempts of idempotent
   /// routes are cancelled after a short grace time; others may run until
@@ -165,6 +178,8 @@
     std::shared_ptr<const CallerRequest> caller_request;
     std::shared_ptr<ServingPlan> plan;
     PlannedRoute* route = nullptr;
+    /// Belongs to `plan`; nullptr for a request that needs no key.
+    const TenantSpec* tenant = nullptr;
     Fingerprint fingerprint = 0;
     Millis arrived_at;
     Millis deadline;
@@ -194,7 +209,17 @@
     bool request_abandoned = false;
   };
 
+  // Identity.
+  /// Requires a plan, to which `route` belongs.
+  Identity IdentifySender(const PlannedRoute& route,
+                          const PresentedKey& presented_key,
+                          Millis now) const;
+  ConfigCertainty CertaintyOfConfig(Millis now) const;
+  /// Returns the answer to a request that was not admitted. Its key is unset.
+  static FinalAnswer MakeIdentityRefusal(const Identity& identity);
+
   // Admission.
+  static FinalAnswer MakeNoConfigRefusal();
   /// The route's objective less the time that the caller has spent on earlier
   /// caller attempts of this request.
   static Millis RemainingObjective(const PlannedRoute& route,
@@ -219,6 +244,12 @@
               AnswerReason reason,
               Millis retry_after,
               const PlannedRoute* route);
+  void Refuse(const FinalAnswer& answer,
+              const CallerRequest& caller_request,
+              const PlannedRoute* route);
+  void ReportRefusal(const FinalAnswer& answer,
+                     const CallerRequest& caller_request,
+                     const PlannedRoute* route) const;
 
   // Progress. Advance() and FinishIfDue() may delete the request; Finish()
   // always does.
--- a/include/tanagervane/serving/exchange.h
+++ b/include/tanagervane/serving/exchange.h
@@ -34,6 +34,9 @@
   std::string forwarded_fields;
   /// Time for which the caller waits for the answer, if it sent one.
   std::optional<Millis> time_left;
+  /// Name of the tenant whose key the caller presented; empty if the request
+  /// needs no key. The key itself is not kept.
+  std::string tenant;
 };
 
 /// Classification of a replica's response.
@@ -59,12 +62,13 @@
 
 /// How a request ended.
 enum class AnswerKind {
-  kReply,        ///< A replica's response, forwarded unchanged.
-  kMerged,       ///< The merged shard responses of a fan-out.
-  kRefused,      ///< The request did not run and will not run.
-  kFailed,       ///< No usable response; the request may have run.
-  kTimedOut,     ///< No response before the deadline; the request may have run.
-  kUnknownRoute  ///< The configuration in force has no such route.
+  kReply,     ///< A replica's response, forwarded unchanged.
+  kMerged,    ///< The merged shard responses of a fan-out.
+  kRefused,   ///< The request did not run and will not run.
+  kFailed,    ///< No usable response; the request may have run.
+  kTimedOut,  ///< No response before the deadline; the request may have run.
+  kUnknownRoute,    ///< The configuration in force has no such route.
+  kUnauthenticated  ///< The request lacks a known key.
 };
 
 std::string_view ToString(AnswerKind kind);
@@ -84,7 +88,9 @@
   kNoRetryBudget,  ///< The service's retry budget was spent.
   kTooSlow,        ///< Replicas did not answer in time.
   kStopping,
-  kCallerGone,  ///< The caller cancelled or disconnected.
+  kCallerGone,      ///< The caller cancelled or disconnected.
+  kUnknownKey,      ///< The request has no key or an unknown one.
+  kConfigUnproved,  ///< The configuration may be too old to decide on keys.
 };
 
 std::string_view ToString(AnswerReason reason);
--- a/include/tanagervane/serving/plan.h
+++ b/include/tanagervane/serving/plan.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "tanagervane/identity/tenant_directory.h"
 #include "tanagervane/serving/config.h"
 #include "tanagervane/serving/latency_window.h"
 #include "tanagervane/serving/replica_set.h"
@@ -68,6 +69,7 @@
   uint64_t version() const { return m_version; }
   const CallerLimits& limits() const { return m_limits; }
   size_t route_count() const { return m_routes.size(); }
+  const TenantDirectory& tenants() const { return m_tenants; }
 
   /// Returns the route that matches, or nullptr.
   PlannedRoute* Find(std::string_view host, std::string_view target);
@@ -75,6 +77,7 @@
  private:
   uint64_t m_version;
   CallerLimits m_limits;
+  TenantDirectory m_tenants;
   RouteTable m_table;
   std::vector<PlannedRoute> m_routes;
 };
--- a/lib/serving/dispatcher_admission.cc
+++ b/lib/serving/dispatcher_admission.cc
@@ -31,6 +31,14 @@
 
 }  // namespace
 
+FinalAnswer Dispatcher::MakeNoConfigRefusal() {
+  FinalAnswer answer;
+  answer.kind = AnswerKind::kRefused;
+  answer.reason = AnswerReason::kNoConfig;
+  answer.retry_after = kNoConfigRetryAfter;
+  return answer;
+}
+
 Millis Dispatcher::RemainingObjective(const PlannedRoute& route,
                                       const CallerRequest& caller_request) {
   const Millis objective = route.spec.objective;
@@ -47,12 +55,14 @@
 }
 
 void Dispatcher::Submit(RequestKey key,
-                        std::shared_ptr<const CallerRequest> caller_request,
-                        Millis now) {
+                        std::shared_ptr<CallerRequest> caller_request,
+                        Millis now,
+                        const PresentedKey& presented_key) {
   ++m_stats.submitted;
   if (!m_plan) {
-    Refuse(key, *caller_request, AnswerKind::kRefused, AnswerReason::kNoConfig,
-           kNoConfigRetryAfter, nullptr);
+    FinalAnswer answer = MakeNoConfigRefusal();
+    answer.key = key;
+    Refuse(answer, *caller_request, nullptr);
     return;
   }
   PlannedRoute* route =
@@ -62,6 +72,16 @@
            {}, nullptr);
     return;
   }
+  const Identity identity = IdentifySender(*route, presented_key, now);
+  if (!identity.admitted()) {
+    FinalAnswer answer = MakeIdentityRefusal(identity);
+    answer.key = key;
+    Refuse(answer, *caller_request, route);
+    return;
+  }
+  if (identity.tenant != nullptr) {
+    caller_request->tenant = identity.tenant->name;
+  }
   const RouteSpec& spec = route->spec;
   const Millis time_left =
       std::min(caller_request->time_left.value_or(spec.timeout), spec.timeout);
@@ -77,6 +97,7 @@
   }
   std::unique_ptr<Request> request =
       MakeRequest(key, *route, *caller_request, time_left, now);
+  request->tenant = identity.tenant;
   if (m_quarantine.Check(request->fingerprint, now) ==
       Quarantine::Verdict::kRefused) {
     Refuse(key, *caller_request, AnswerKind::kRefused,
@@ -170,7 +191,11 @@
     estimates.push_back(
         m_chooser.EstimateSubRequest(*sub_request.service, profile, now));
   }
-  const double wait_fraction = spec.priority <= kMaxUrgentPriority
+  const uint32_t priority =
+      request.tenant != nullptr
+          ? request.tenant->priority.value_or(spec.priority)
+          : spec.priority;
+  const double wait_fraction = priority <= kMaxUrgentPriority
                                    ? kUrgentMaxWaitFraction
                                    : kNormalMaxWaitFraction;
   AdmissionLimits limits;
@@ -194,16 +219,28 @@
   answer.kind = kind;
   answer.reason = reason;
   answer.retry_after = retry_after;
+  Refuse(answer, caller_request, route);
+}
+
+void Dispatcher::Refuse(const FinalAnswer& answer,
+                        const CallerRequest& caller_request,
+                        const PlannedRoute* route) {
+  ReportRefusal(answer, caller_request, route);
+  m_hooks.answer(answer);
+}
+
+void Dispatcher::ReportRefusal(const FinalAnswer& answer,
+                               const CallerRequest& caller_request,
+                               const PlannedRoute* route) const {
   RequestReport report;
   report.request = &caller_request;
   report.route = route != nullptr ? std::string_view(route->spec.name) : "";
   report.config_version = m_plan ? m_plan->version() : 0;
-  report.kind = kind;
-  report.reason = reason;
+  report.kind = answer.kind;
+  report.reason = answer.reason;
   report.objective = route != nullptr ? route->spec.objective : Millis(0);
   report.time_left_on_arrival = caller_request.time_left.value_or(Millis(0));
   m_hooks.on_finished(report);
-  m_hooks.answer(answer);
 }
 
 }  // namespace tanagervane
--- a/lib/serving/exchange.cc
+++ b/lib/serving/exchange.cc
@@ -16,6 +16,8 @@
       return "failed";
     case AnswerKind::kTimedOut:
       return "timed_out";
+    case AnswerKind::kUnauthenticated:
+      return "unauthenticated";
     case AnswerKind::kUnknownRoute:
       break;
   }
@@ -50,6 +52,10 @@
       return "too_slow";
     case AnswerReason::kStopping:
       return "stopping";
+    case AnswerReason::kUnknownKey:
+      return "unknown_key";
+    case AnswerReason::kConfigUnproved:
+      return "config_unproved";
     case AnswerReason::kCallerGone:
       break;
   }
--- a/lib/serving/plan.cc
+++ b/lib/serving/plan.cc
@@ -75,6 +75,7 @@
                          RouteStatsByName& stats)
     : m_version(config.version),
       m_limits(config.limits),
+      m_tenants(config.tenants),
       m_table(config.routes) {
   replicas.ApplyServices(config.services);
   replicas.ForEachService(
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -311,10 +311,12 @@
       m_connections.CloseIdle(replica);
     }
   };
+  hooks.config_certainty = [this](Millis) { return CertaintyOfConfig(); };
   return hooks;
 }
 
 void Node::OnCallerRequest(ExchangeId exchange, HttpRequestMessage message) {
+  const PresentedKey key = FindPresentedKey(message.fields);
   auto decoded = DecodeCallerRequest(std::move(message));
   if (!decoded.ok()) {
     LogEvent("request_invalid")
@@ -323,9 +325,9 @@
     m_caller_listener.Respond(exchange, EncodeRejection(decoded.status()));
     return;
   }
-  auto request = std::make_shared<const CallerRequest>(*std::move(decoded));
+  auto request = std::make_shared<CallerRequest>(*std::move(decoded));
   m_request_ids[exchange] = request->id;
-  m_dispatcher.Submit(exchange, std::move(request), Poller::Now());
+  m_dispatcher.Submit(exchange, std::move(request), Poller::Now(), key);
   UpdateTimer();
 }
 
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -68,6 +69,11 @@
 
   // Callers.
   void OnCallerRequest(ExchangeId exchange, HttpRequestMessage message);
+  /// Returns the response to a request that its header suffices to refuse.
+  /// `header` is the request without its body.
+  std::optional<HttpResponseMessage> AnswerFromHeader(
+      const HttpRequestMessage& header);
+  ConfigCertainty CertaintyOfConfig() const;
   void ApplyLimits(const CallerLimits& limits);
   void OnAnswer(const FinalAnswer& answer);
   void AnswerAddresses(ExchangeId exchange);
@@ -141,6 +147,8 @@
   /// Whether this VM watches the latest state of the store on behalf of its
   /// data centre.
   bool m_watches_latest = false;
+  /// Whether a live VM has reported a later version of the configuration.
+  bool m_newer_config_known = false;
   Millis m_started_at;
   bool m_stopping = false;
   Millis m_stop_deadline;
--- /dev/null
+++ b/tools/tanagervane-node/node_identity.cc
@@ -0,0 +1,37 @@
+// Identity of callers in Node.
+
+#include "platform/caller_codec.h"
+#include "tools/tanagervane-node/node.h"
+
+namespace tanagervane {
+
+namespace {
+
+/// Retry-After of a request whose key this VM does not know while it may lack
+/// the latest configuration. Other VMs may have it.
+constexpr Millis kUnsureRetryAfter{250};
+
+}  // namespace
+
+ConfigCertainty Node::CertaintyOfConfig() const {
+  return {.rejects_unknown_keys =
+              m_peers.self().store_reachable && !m_newer_config_known,
+          .retry_after = kUnsureRetryAfter};
+}
+
+std::optional<HttpResponseMessage> Node::AnswerFromHeader(
+    const HttpRequestMessage& header) {
+  const auto request = DecodeCallerRequest(header);
+  if (!request.ok()) {
+    // Answered when the request has been read in full.
+    return std::nullopt;
+  }
+  const auto answer = m_dispatcher.CheckHeader(
+      *request, FindPresentedKey(header.fields), Poller::Now());
+  if (!answer) {
+    return std::nullopt;
+  }
+  return EncodeAnswer(*answer, request->id);
+}
+
+}  // namespace tanagervane
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -204,6 +204,7 @@
       .Field("services", config->services.size());
   ApplyLimits(config->limits);
   m_peers.SetDocumentRevision(config->version);
+  m_newer_config_known = false;
   UpdateState();
 }
 
@@ -318,6 +319,11 @@
     m_config_watcher->SetWatchesLatest(watches_latest);
     m_replica_watcher->SetWatchesLatest(watches_latest);
   }
+  m_newer_config_known =
+      std::ranges::any_of(peers, [this](const PeerTable::Peer& peer) {
+        return peer.liveness != Liveness::kDead &&
+               peer.record.document_revision > m_peers.self().document_revision;
+      });
   const size_t vms = EstimateFleetSize(view);
   if (vms == m_fleet_size) {
     return;
--- a/unittests/serving/dispatcher_harness.h
+++ b/unittests/serving/dispatcher_harness.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERVANE_UNITTESTS_SERVING_DISPATCHER_HARNESS_H_
 #define TANAGERVANE_UNITTESTS_SERVING_DISPATCHER_HARNESS_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -20,7 +21,10 @@
   static constexpr size_t kShards = 4;
   static constexpr size_t kReplicas = 3;
 
-  explicit DispatcherHarness(ServingPolicy policy = {})
+  using CertaintyHook = std::function<ConfigCertainty(Millis)>;
+
+  explicit DispatcherHarness(ServingPolicy policy = {},
+                             CertaintyHook certainty = nullptr)
       : replicas({.on_retired = [](ServingReplica&, std::string_view) {},
                   .on_added = [](ServingReplica&) {},
                   .on_rate_limit_changed = [](const ServingReplica&,
@@ -29,7 +33,7 @@
         dispatcher({.policy = policy, .data_centre = "a", .seed = 7},
                    replicas,
                    quarantine,
-                   Hooks()) {
+                   Hooks(std::move(certainty))) {
     replicas.SetFleetSize(
         1, {.ratio = 0.2, .slack = 100, .window = Millis(10000)});
     dispatcher.ApplyConfig(MakeConfig(1));
@@ -145,8 +149,9 @@
   Dispatcher dispatcher;
 
  private:
-  DispatcherHooks Hooks() {
+  DispatcherHooks Hooks(CertaintyHook certainty) {
     DispatcherHooks hooks;
+    hooks.config_certainty = std::move(certainty);
     hooks.send = [this](const OutgoingAttempt& attempt) {
       sent_attempts.push_back(attempt);
     };
