Test callers' keys with processes and describe identity

The stand-in writes tenants into its configuration and its replicas record the header fields that reach them.

--- a/integration/platform_cluster.py
+++ b/integration/platform_cluster.py
@@ -132,13 +132,14 @@
              service=single_service)]
 
 
-def call_node(node, path, method="GET", body=None, deadline=1000):
+def call_node(node, path, method="GET", body=None, deadline=1000,
+              headers=None):
     """Sends a request as a caller does; the reply also has the request's
     id."""
     request_id = uuid.uuid4().hex
     reply = http_request(node.caller_address, path, {
         "Host": "h.example", "Request-Id": request_id,
-        "Deadline": str(deadline)}, method, body)
+        "Deadline": str(deadline), **(headers or {})}, method, body)
     reply.id = request_id
     return reply
 
--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -335,6 +335,8 @@
         self.arrived = []
         # When they reached it, by time.monotonic().
         self.arrival_times = []
+        # The header fields of each, with names in lower case.
+        self.arrived_headers = []
         self.rejected = 0
         # What it stated in its answers to requests.
         self.answers = []
@@ -423,6 +425,7 @@
             return response(421, b"", [("Instance-Id", self.name)])
         self.arrived.append(request.headers.get("request-id"))
         self.arrival_times.append(time.monotonic())
+        self.arrived_headers.append(request.headers)
         if self.mode == "shed":
             self.rejected += 1
             self.record_answer(request, self.retry_after_s)
@@ -495,11 +498,12 @@
     def all_replicas(self):
         return [r for group in self.replicas.values() for r in group]
 
-    def configure(self, routes):
+    def configure(self, routes, tenants=None):
         self.version += 3
         services = [{"name": name, "healthPath": "/healthz", "maxConns": 40,
                      "protocol": "h1", "tls": False} for name in self.replicas]
-        self.store.put("config", "main", {
+        extra = {} if tenants is None else {"tenants": tenants}
+        self.store.put("config", "main", extra | {
             "version": self.version, "routes": routes, "services": services,
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
                        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
