--- a/include/tanagervane/serving/exchange.h
+++ b/include/tanagervane/serving/exchange.h
@@ -34,7 +34,8 @@
   std::string forwarded_fields;
   /// Time for which the caller waits for the answer, if it sent one.
   std::optional<Millis> time_left;
-  /// Name of the tenant whose key the caller presented; empty for none.
+  /// Name of the tenant whose key the caller presented; empty if the request
+  /// needs no key. The key itself is not kept.
   std::string tenant;
 };
 
@@ -66,8 +67,9 @@
   kRefused,   ///< The request did not run and will not run.
   kFailed,    ///< No usable response; the request may have run.
   kTimedOut,  ///< No response before the deadline; the request may have run.
-  kUnknownRoute,  ///< The configuration in force has no such route.
-  kOverLimit      ///< Beyond the tenant's rate limit; the request will not run.
+  kUnknownRoute,     ///< The configuration in force has no such route.
+  kUnauthenticated,  ///< The request lacks a known key.
+  kOverLimit  ///< Beyond the tenant's rate limit; the request will not run.
 };
 
 std::string_view ToString(AnswerKind kind);
@@ -87,9 +89,11 @@
   kNoRetryBudget,  ///< The service's retry budget was spent.
   kTooSlow,        ///< Replicas did not answer in time.
   kStopping,
-  kCallerGone,   ///< The caller cancelled or disconnected.
-  kTenantLimit,  ///< The tenant has used its allowance.
-  kNoPermit,     ///< No VM could grant a permit for the tenant's request.
+  kCallerGone,      ///< The caller cancelled or disconnected.
+  kUnknownKey,      ///< The request has no key or an unknown one.
+  kConfigUnproved,  ///< The configuration may be too old to decide on keys.
+  kTenantLimit,     ///< The tenant has used its allowance.
+  kNoPermit,        ///< No VM could grant a permit for the tenant's request.
 };
 
 std::string_view ToString(AnswerReason reason);
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -207,6 +207,7 @@
   ApplyLimits(config->limits);
   ApplyTenants(*config);
   m_peers.SetDocumentRevision(config->version);
+  m_newer_config_known = false;
   UpdateState();
 }
 
@@ -326,6 +327,11 @@
     m_config_watcher->SetWatchesLatest(watches_latest);
     m_replica_watcher->SetWatchesLatest(watches_latest);
   }
+  m_newer_config_known =
+      std::ranges::any_of(peers, [this](const PeerTable::Peer& peer) {
+        return peer.liveness != Liveness::kDead &&
+               peer.record.document_revision > m_peers.self().document_revision;
+      });
   const size_t vms = EstimateFleetSize(view);
   if (vms == m_fleet_size) {
     return;
