Take the latest-watch role from a process that has just started

A VM left the role of watching the latest state to any live peer with a lower id. A killed process is back before its peers suspect it and took up the role only 4 s after its start; meanwhile no VM of its data centre watched the latest state. A process now counts as watching only 4.5 s after it was first seen, unless it was found in this VM's own first seconds. A process decides on the role 1.5 s after its start, when gossip has converged; at the first start of the system it still waits 4 s, because the list of VMs is then incomplete.

The first list of the configuration reads the latest state, so that processes that were all killed do not go by a stale one.

--- a/include/tanagervane/fleet/latest_watchers.h
+++ b/include/tanagervane/fleet/latest_watchers.h
@@ -3,9 +3,14 @@
 #ifndef TANAGERVANE_FLEET_LATEST_WATCHERS_H_
 #define TANAGERVANE_FLEET_LATEST_WATCHERS_H_
 
+#include <cstdint>
+#include <functional>
+#include <map>
 #include <span>
+#include <string>
 
 #include "tanagervane/state/peer_table.h"
+#include "tanagervane/support/millis.h"
 
 namespace tanagervane {
 
@@ -17,6 +22,34 @@
 bool WatchesLatest(const PeerRecord& self,
                    std::span<const PeerTable::Peer> peers);
 
+/// Applies WatchesLatest() with regard to the starts of processes: a process
+/// that has just started does not watch yet, so it takes the role from no other
+/// VM for some time.
+class LatestWatchRole {
+ public:
+  /// `delay` is the time after `started_at`, the start of this process, in
+  /// which it does not know the other VMs and leaves the role to them.
+  LatestWatchRole(Millis started_at, Millis delay)
+      : m_settled_at(started_at + delay) {}
+
+  /// Returns whether this VM must watch the latest state now. Call it in each
+  /// gossip round.
+  bool Update(const PeerRecord& self,
+              std::span<const PeerTable::Peer> peers,
+              Millis now);
+
+ private:
+  /// The running process of a VM that precedes this one.
+  struct Process {
+    uint64_t incarnation = 0;
+    Millis watches_from;
+  };
+
+  Millis m_settled_at;
+  /// By VM id.
+  std::map<std::string, Process, std::less<>> m_processes;
+};
+
 }  // namespace tanagervane
 
 #endif  // TANAGERVANE_FLEET_LATEST_WATCHERS_H_
--- a/include/tanagervane/state/kind_watcher.h
+++ b/include/tanagervane/state/kind_watcher.h
@@ -64,6 +64,8 @@
   /// Lists and watches may return stale data, except where this class requires
   /// Freshness::kLatest.
   bool stale_reads = false;
+  /// The first list is of the latest state although stale reads are allowed.
+  bool latest_first_list = false;
 };
 
 /// Lists all objects and then watches for changes. Lists again after an outage
--- a/lib/state/kind_watcher.cc
+++ b/lib/state/kind_watcher.cc
@@ -43,7 +43,9 @@
 }
 
 Freshness KindWatcher::ListFreshness() const {
-  return m_options.stale_reads ? Freshness::kStale : Freshness::kLatest;
+  const bool stale =
+      m_options.stale_reads && (m_has_snapshot || !m_options.latest_first_list);
+  return stale ? Freshness::kStale : Freshness::kLatest;
 }
 
 Freshness KindWatcher::WatchFreshness() const {
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -20,6 +20,12 @@
 /// Time between reads of the list of VMs.
 constexpr Millis kVmListInterval{15'000};
 
+/// A process decides this long after its start whether it must watch the latest
+/// state of the store, because it does not know the other VMs earlier. When the
+/// whole system starts for the first time, the list of VMs is still incomplete.
+constexpr Millis kWatchRoleDelay{1500};
+constexpr Millis kWatchRoleDelayAtFirstStart{4000};
+
 /// A replica change that another VM has seen counts as missed when it does not
 /// arrive within this time after the time for which changes are batched.
 constexpr Millis kChangeDelayMargin{400};
@@ -175,7 +181,10 @@
       m_directory(m_peers, incarnation),
       m_gossip(m_poller, m_peers, m_quarantine, GossipHooks()),
       m_registry(m_settings.id, RegistryHooks()),
-      m_started_at(Poller::Now()) {
+      m_started_at(Poller::Now()),
+      m_watch_role(m_started_at,
+                   m_settings.first_start ? kWatchRoleDelayAtFirstStart
+                                          : kWatchRoleDelay) {
   m_settings.retries.full_slack_from = m_started_at + m_settings.retries.window;
   m_poller.SetAlarmHook([this] {
     m_dispatcher.OnTick(Poller::Now());
@@ -203,7 +212,8 @@
   const uint64_t seed = m_peers.self().incarnation;
   const bool stale = m_settings.stale_reads;
   m_config_watcher = std::make_unique<KindWatcher>(
-      KindWatcherOptions{.stale_reads = stale}, ConfigHooks(), seed);
+      KindWatcherOptions{.stale_reads = stale, .latest_first_list = true},
+      ConfigHooks(), seed);
   const Millis batch_delay = m_settings.drain_bound * kBatchDelayFraction;
   m_replica_watcher = std::make_unique<KindWatcher>(
       KindWatcherOptions{.lag_timeout = batch_delay + kChangeDelayMargin,
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -13,6 +13,7 @@
 #include "absl/status/status.h"
 #include "platform/store_client.h"
 #include "tanagervane/fleet/fleet_size.h"
+#include "tanagervane/fleet/latest_watchers.h"
 #include "tanagervane/fleet/replica_connections.h"
 #include "tanagervane/fleet/udp_gossip.h"
 #include "tanagervane/fleet/vm_registry.h"
@@ -142,6 +143,7 @@
   /// data centre.
   bool m_watches_latest = false;
   Millis m_started_at;
+  LatestWatchRole m_watch_role;
   bool m_stopping = false;
   Millis m_stop_deadline;
 };
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -7,7 +7,6 @@
 
 #include "platform/config_codec.h"
 #include "platform/object_codec.h"
-#include "tanagervane/fleet/latest_watchers.h"
 #include "tanagervane/support/error.h"
 #include "tanagervane/support/log.h"
 #include "tools/tanagervane-node/node.h"
@@ -19,10 +18,6 @@
 /// The longest time that gossip needs after a start to reach the other VMs.
 constexpr Millis kGossipConvergenceTime{1500};
 
-/// A VM decides only this long after its start whether it must watch the latest
-/// state of the store, because it does not know the other VMs earlier.
-constexpr Millis kWatchRoleDelay{4000};
-
 void LogRejected(std::string_view event,
                  const StoreObject& object,
                  const absl::Status& status,
@@ -307,8 +302,7 @@
       })));
   view.listed = m_registry.listed_count();
   view.gossip_converged = now - m_started_at >= kGossipConvergenceTime;
-  const bool watches_latest = now - m_started_at >= kWatchRoleDelay &&
-                              WatchesLatest(m_peers.self(), peers);
+  const bool watches_latest = m_watch_role.Update(m_peers.self(), peers, now);
   if (watches_latest != m_watches_latest) {
     m_watches_latest = watches_latest;
     LogEvent("store_watch_role")
--- a/unittests/fleet/latest_watchers_test.cc
+++ b/unittests/fleet/latest_watchers_test.cc
@@ -60,6 +60,40 @@
   EXPECT_EQ(Watchers(fleet), (Ids{"a1", "a2", "a3"}));
 }
 
+// Guards against a time in which no VM of a data centre watches, because the
+// others leave the role to a process that was killed and has just started again
+// (review/7).
+TEST(LatestWatchRoleTest, RestartedProcessTakesNoRole) {
+  std::vector<PeerTable::Peer> others = {
+      {Record("a1", "a"), Liveness::kAlive, {}}};
+  LatestWatchRole role(Millis(0), Millis(1500));
+  EXPECT_FALSE(role.Update(Record("a2", "a"), others, Millis(250)));
+  EXPECT_FALSE(role.Update(Record("a2", "a"), others, Millis(10'000)));
+  // The peer is back before it was suspected.
+  others[0].record.incarnation = 2;
+  EXPECT_TRUE(role.Update(Record("a2", "a"), others, Millis(10'250)));
+  EXPECT_TRUE(role.Update(Record("a2", "a"), others, Millis(14'000)));
+  EXPECT_FALSE(role.Update(Record("a2", "a"), others, Millis(15'000)));
+}
+
+// Guards against a role that is taken before the other VMs are known, that is
+// never taken, or that two VMs take after a common start.
+TEST(LatestWatchRoleTest, FirstVmTakesTheRoleAfterACommonStart) {
+  const std::vector<PeerTable::Peer> others = {
+      {Record("a1", "a"), Liveness::kAlive, {}},
+      {Record("b1", "b"), Liveness::kAlive, {}}};
+  const std::vector<PeerTable::Peer> others_of_a1 = {
+      {Record("a2", "a"), Liveness::kAlive, {}}, others[1]};
+  LatestWatchRole a1(Millis(0), Millis(1500));
+  LatestWatchRole a2(Millis(0), Millis(1500));
+  for (int round = 1; round < 40; ++round) {
+    const Millis now = kGossipInterval * round;
+    EXPECT_EQ(a1.Update(Record("a1", "a"), others_of_a1, now),
+              now >= Millis(1500));
+    EXPECT_FALSE(a2.Update(Record("a2", "a"), others, now));
+  }
+}
+
 TEST(LatestWatchersTest, VmWithoutPeersWatches) {
   EXPECT_TRUE(WatchesLatest(Record("z", "a"), {}));
 }
--- a/unittests/state/kind_watcher_test.cc
+++ b/unittests/state/kind_watcher_test.cc
@@ -264,6 +264,23 @@
   EXPECT_EQ(m_watch_request.revision, 12u);
 }
 
+// Guards against a restarted process that goes by a configuration of some
+// seconds ago (review/7), and against later lists that are expensive.
+TEST_F(StaleReadsTest, FirstListMayBeOfTheLatestState) {
+  KindWatcher watcher({.stale_reads = true, .latest_first_list = true}, Hooks(),
+                      1);
+  watcher.Start();
+  EXPECT_EQ(m_list_freshness, Freshness::kLatest);
+  AnswerList(StoreResult::kUnavailable);
+  RunTasks();
+  EXPECT_EQ(m_list_freshness, Freshness::kLatest);
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  EXPECT_EQ(m_watch_request.freshness, Freshness::kStale);
+  AnswerWatch(StoreResult::kUnavailable);
+  RunTasks();
+  EXPECT_EQ(m_list_freshness, Freshness::kStale);
+}
+
 // Guards against expensive checks of watches: the check may be stale, and only
 // the VMs that watch the latest state make it.
 TEST_F(StaleReadsTest, ChecksOfWatchesAreCheap) {
