Do not take a watch that was cut off for an outage of the store

A waiting watch may be cut off at any time. One such watch made the store count as unreachable and, for 2.5 s after the next list, as unstable; the grace time of a registration that vanished then counted from the time at which this VM learned of it, not from the time at which the first VM saw it, and a removed replica got requests for up to 3.4 s. The store now counts as unreachable only if it does not answer the list that follows. Checks of watches, lists and reads of the latest changes that are not answered still make it unreachable at once.

RelistsAfterOutage expected the store to be unreachable after the watch itself; it now fails the list as well and expects that. The new unit test failed before and passes now.

--- a/include/tanagervane/state/kind_watcher.h
+++ b/include/tanagervane/state/kind_watcher.h
@@ -46,7 +46,9 @@
   /// another VM. A read of the latest state follows.
   std::function<void(uint64_t applied_revision, uint64_t remote_revision)>
       on_lagging;
-  /// Called when the store becomes unreachable or reachable again.
+  /// Called when the store becomes unreachable or reachable again. A watch that
+  /// was cut off while it waited does not make the store unreachable; the list
+  /// that follows tells.
   std::function<void(bool reachable, StoreResult result)>
       on_reachability_changed;
 };
@@ -129,8 +131,10 @@
   void OnWatchEvents(StoreResult result, const StoreEvents& events);
   /// `revision` is that of the response that contains the event.
   void ApplyEvent(const StoreEvent& event, uint64_t revision);
-  /// Lists again after a backoff that follows a failed call.
+  /// Counts the store as unreachable and lists again after a backoff.
   void RelistAfterBackoff(StoreResult result);
+  /// Lists again after a backoff that follows a failed call.
+  void ScheduleRelist();
   void SetReachable(bool reachable, StoreResult result);
 
   KindWatcherOptions m_options;
--- a/lib/state/kind_watcher.cc
+++ b/lib/state/kind_watcher.cc
@@ -211,7 +211,10 @@
     return;
   }
   if (result != StoreResult::kOk) {
-    RelistAfterBackoff(result);
+    // A waiting watch may be cut off at any time. The store counts as
+    // unreachable only if it does not answer the list that follows.
+    m_resyncing = true;
+    ScheduleRelist();
     return;
   }
   ApplyEvents(events);
@@ -290,6 +293,10 @@
 void KindWatcher::RelistAfterBackoff(StoreResult result) {
   m_resyncing = false;
   SetReachable(false, result);
+  ScheduleRelist();
+}
+
+void KindWatcher::ScheduleRelist() {
   const double jitter_factor = 1 - kBackoffJitter * m_random.NextDouble();
   const Millis delay = m_backoff * jitter_factor;
   m_backoff = std::min(m_backoff * 2, m_options.max_backoff);
--- a/unittests/state/kind_watcher_test.cc
+++ b/unittests/state/kind_watcher_test.cc
@@ -122,6 +122,9 @@
   m_watcher.Start();
   AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
   AnswerWatch(StoreResult::kUnavailable);
+  RunTasks();
+  EXPECT_TRUE(m_watches.empty());
+  AnswerList(StoreResult::kUnavailable);
   EXPECT_FALSE(m_watcher.reachable());
   RunTasks();
   EXPECT_TRUE(m_watches.empty());
@@ -131,6 +134,26 @@
   EXPECT_EQ(m_reachable_calls, (std::vector<bool>{false, true}));
 }
 
+// Guards against a single watch that was cut off and counts as an outage of the
+// store: registrations that vanish soon after it then have their grace time
+// counted from too late a time (review/8).
+TEST_F(KindWatcherTest, InterruptedWatchIsNoOutage) {
+  m_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  AnswerWatch(StoreResult::kUnavailable);
+  EXPECT_TRUE(m_watcher.reachable());
+  // No other read begins before the list.
+  m_watcher.ReadNow();
+  m_watcher.OnRemoteRevision(20, Millis(0), Millis(5000));
+  EXPECT_TRUE(m_watches.empty());
+  EXPECT_TRUE(m_lists.empty());
+  RunTasks();
+  ASSERT_EQ(m_lists.size(), 1u);
+  AnswerList(StoreResult::kOk, Page({{"b", 20, {}}}, 20));
+  EXPECT_EQ(m_objects, (std::map<std::string, uint64_t>{{"b", 20}}));
+  EXPECT_TRUE(m_reachable_calls.empty());
+}
+
 TEST_F(KindWatcherTest, RelistsWhenHistoryIsGone) {
   m_watcher.Start();
   AnswerList(StoreResult::kOk, Page({}, 10));
