Handle a store that was restored from an earlier copy

The store states its era in each response and increases it when it was restored; revisions then go back and are assigned again. Both watchers then forget their revisions and list the latest state, times of changes and logged rejections are forgotten, registrations that are missing get the full grace time, and the VM writes its own registration again. Pages and events carry the era; one of another era is not applied.

Revisions are gossiped with their era in a message with another first byte, which VMs of the previous release drop. With an era the revisions of GossipMessage, which state none, are ignored. A report of a higher era causes one list of the configuration, whose response tells the era.

Without the field the era is 0 and all messages are as before.

--- a/include/tanagervane/fleet/revision_gossip.h
+++ b/include/tanagervane/fleet/revision_gossip.h
@@ -23,10 +23,18 @@
 struct RevisionGossip {
   /// Id of the sending VM.
   std::string sender;
+  /// The store's era, to which all revisions of the message belong. With era 0
+  /// the message has the layout of an earlier release. VMs of that release drop
+  /// a message of another era, because they cannot compare its revisions.
+  uint64_t era = 0;
+  /// Revisions of the latest changes that the sender has seen, as in
+  /// GossipMessage, which states no era. Only sent with an era.
+  uint64_t config_revision = 0;
+  uint64_t replica_revision = 0;
   std::vector<RevisionReport> config;
   std::vector<RevisionReport> replicas;
 
-  bool empty() const { return config.empty() && replicas.empty(); }
+  bool empty() const { return era == 0 && config.empty() && replicas.empty(); }
 };
 
 /// Returns whether a datagram is a revision message, by its first byte.
--- a/include/tanagervane/fleet/vm_registry.h
+++ b/include/tanagervane/fleet/vm_registry.h
@@ -65,6 +65,9 @@
   /// Reads the list again. Call it a few times a minute.
   void Refresh(Millis now);
 
+  /// Writes this VM's registration again, because the store may have lost it.
+  void RegisterAgain(Millis now);
+
   /// Removes this VM's registration and never registers it again.
   void Deregister();
 
@@ -102,6 +105,8 @@
   VmRegistryHooks m_hooks;
   bool m_deregistered = false;
   bool m_registering = false;
+  /// The write in flight must be followed by another one.
+  bool m_register_again = false;
   /// When this VM was last registered.
   Millis m_registered_at{0};
   /// VMs on the pages of the current read.
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -227,6 +227,10 @@
   /// retired; for some time after its return, the full grace time applies.
   void SetStoreReachable(bool reachable, Millis now);
 
+  /// Called when the store was restored from an earlier copy: registrations
+  /// that it lost are written again, so the full grace time applies to them.
+  void OnStoreRestored(Millis now) { m_store_reachable_since = now; }
+
   /// Retires replicas whose registration lapsed and did not come back within
   /// the grace time, and forgets what replicas that were removed long ago have
   /// stated. Call it a few times a second.
--- a/include/tanagervane/state/kind_watcher.h
+++ b/include/tanagervane/state/kind_watcher.h
@@ -98,6 +98,15 @@
   /// the latest state lists all objects at once.
   void OnRemoteRevision(uint64_t revision, Millis now, Millis age = Millis(0));
 
+  /// Handles the beginning of an era of the store. Revisions of other eras are
+  /// forgotten, and the objects are listed again. Nothing that was read in an
+  /// earlier era is applied any more.
+  void OnEra(uint64_t era);
+
+  /// Handles a report that another VM has seen an era of the store. If this VM
+  /// has not, it lists the latest state, once for each reported era.
+  void OnRemoteEra(uint64_t era);
+
   /// Reads the latest changes now instead of waiting for the watch. Does
   /// nothing while the store is unreachable or a list is being read.
   void ReadNow();
@@ -121,6 +130,9 @@
   void ReadLatestChanges();
   void OnLatestChanges(StoreResult result, const StoreEvents& events);
   void ApplyEvents(const StoreEvents& events);
+  /// Returns whether a response may be applied: it is of the current era.
+  /// Otherwise starts a new list.
+  bool AcceptEra(uint64_t era);
   void OnPage(StoreResult result, StorePage page);
   void Watch();
   /// Reads without waiting, soon after a watch of the latest state began. The
@@ -153,6 +165,10 @@
   bool m_has_snapshot = false;
   bool m_reachable = true;
   Millis m_backoff;
+  /// The store's era. All revisions kept here belong to it.
+  uint64_t m_era = 0;
+  /// The highest era that another VM has reported.
+  uint64_t m_remote_era = 0;
   uint64_t m_last_change_revision = 0;
   /// All changes up to this revision are applied. It is the revision of the
   /// last complete list or of a later event.
--- a/include/tanagervane/state/rejected_entries.h
+++ b/include/tanagervane/state/rejected_entries.h
@@ -19,6 +19,9 @@
   /// this is to be logged.
   bool Add(std::string_view name, uint64_t revision);
 
+  /// Forgets the revisions, because the store has begun a new era.
+  void ForgetRevisions() { m_revisions.clear(); }
+
   /// Changes of entries that were rejected.
   uint64_t total() const { return m_total; }
 
--- a/include/tanagervane/state/revision_times.h
+++ b/include/tanagervane/state/revision_times.h
@@ -31,6 +31,9 @@
   /// Records that a VM had seen all changes up to `revision` at `seen_at`.
   void Record(uint64_t revision, Millis seen_at);
 
+  /// Forgets all reports, because the store has begun a new era.
+  void Clear() { m_entries.clear(); }
+
   /// Returns the earliest time at which the change of this revision is known to
   /// have been seen; nullopt when no report includes it.
   std::optional<Millis> SeenAt(uint64_t revision) const;
--- a/lib/fleet/revision_gossip.cc
+++ b/lib/fleet/revision_gossip.cc
@@ -12,6 +12,8 @@
 /// First byte of each message. Differs from the layout versions of
 /// GossipMessage, which are small numbers, and from the tag of ReplicaGossip.
 constexpr char kRevisionGossipTag = 'V';
+/// First byte of a message that states an era.
+constexpr char kEraGossipTag = 'E';
 
 void AppendReport(std::string& bytes, const RevisionReport& report) {
   AppendVarint(bytes, report.revision);
@@ -30,12 +32,18 @@
 }  // namespace
 
 bool IsRevisionGossip(std::string_view bytes) {
-  return bytes.starts_with(kRevisionGossipTag);
+  return bytes.starts_with(kRevisionGossipTag) ||
+         bytes.starts_with(kEraGossipTag);
 }
 
 std::string EncodeRevisionGossip(const RevisionGossip& message) {
-  std::string bytes(1, kRevisionGossipTag);
+  std::string bytes(1, message.era == 0 ? kRevisionGossipTag : kEraGossipTag);
   AppendString(bytes, message.sender);
+  if (message.era != 0) {
+    AppendVarint(bytes, message.era);
+    AppendVarint(bytes, message.config_revision);
+    AppendVarint(bytes, message.replica_revision);
+  }
   AppendItems(bytes, message.config, AppendReport);
   AppendItems(bytes, message.replicas, AppendReport);
   return bytes;
@@ -44,9 +52,15 @@
 absl::StatusOr<RevisionGossip> DecodeRevisionGossip(std::string_view bytes) {
   GossipReader reader(bytes);
   const bool is_tagged = IsRevisionGossip(bytes);
-  reader.ReadByte();
+  const bool has_era =
+      reader.ReadByte() == static_cast<uint64_t>(kEraGossipTag);
   RevisionGossip message;
   message.sender = reader.ReadString();
+  if (has_era) {
+    message.era = reader.ReadVarint();
+    message.config_revision = reader.ReadVarint();
+    message.replica_revision = reader.ReadVarint();
+  }
   message.config = ReadItems(reader, ReadReport);
   message.replicas = ReadItems(reader, ReadReport);
   if (!is_tagged || !reader.ok() || !reader.at_end()) {
--- a/lib/fleet/vm_registry.cc
+++ b/lib/fleet/vm_registry.cc
@@ -47,6 +47,14 @@
   ReadList(allow_stale ? Freshness::kStale : Freshness::kLatest, now);
 }
 
+void VmRegistry::RegisterAgain(Millis now) {
+  if (m_registering) {
+    m_register_again = true;
+    return;
+  }
+  Register(now);
+}
+
 void VmRegistry::Deregister() {
   m_deregistered = true;
   m_hooks.remove(m_id);
@@ -112,6 +120,10 @@
     return;
   }
   m_registering = false;
+  if (std::exchange(m_register_again, false)) {
+    Register(now);
+    return;
+  }
   m_registered_at = now;
   ScheduleEarlyReads(now);
 }
--- a/lib/state/kind_watcher.cc
+++ b/lib/state/kind_watcher.cc
@@ -83,11 +83,49 @@
   ListNextPage();
 }
 
+void KindWatcher::OnEra(uint64_t era) {
+  if (era <= m_era) {
+    return;
+  }
+  m_era = era;
+  m_watch_revision = 0;
+  m_last_change_revision = 0;
+  m_applied_revision = 0;
+  m_remote_revision = 0;
+  m_lagging_since.reset();
+  m_object_revisions.clear();
+  // Before the first page, the list in flight is of the new era.
+  if (m_has_snapshot || !m_listed_objects.empty()) {
+    Relist(Freshness::kLatest);
+  }
+}
+
+void KindWatcher::OnRemoteEra(uint64_t era) {
+  if (era <= m_era || era <= m_remote_era || !m_has_snapshot || !m_reachable ||
+      m_resyncing) {
+    return;
+  }
+  m_remote_era = era;
+  Relist(Freshness::kLatest);
+}
+
+bool KindWatcher::AcceptEra(uint64_t era) {
+  const uint64_t generation = m_generation;
+  OnEra(era);
+  if (era < m_era) {
+    RelistAfterBackoff(StoreResult::kUnavailable);
+  }
+  return generation == m_generation;
+}
+
 void KindWatcher::OnPage(StoreResult result, StorePage page) {
   if (result != StoreResult::kOk) {
     RelistAfterBackoff(result);
     return;
   }
+  if (!AcceptEra(page.era)) {
+    return;
+  }
   SetReachable(true, result);
   // Changes made while the pages are read arrive again as events, because the
   // watch starts from the oldest page.
@@ -193,6 +231,9 @@
     return;
   }
   if (result == StoreResult::kOk) {
+    if (!AcceptEra(events.era)) {
+      return;
+    }
     ApplyEvents(events);
   }
   if (result == StoreResult::kRevisionTooOld ||
@@ -217,6 +258,9 @@
     ScheduleRelist();
     return;
   }
+  if (!AcceptEra(events.era)) {
+    return;
+  }
   ApplyEvents(events);
   if (events.events.empty() || m_options.batch_delay == Millis(0)) {
     Watch();
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -208,7 +208,9 @@
     return status;
   }
   m_replicas.SetDrainTimeout(m_settings.drain_bound);
-  m_store = std::make_unique<StoreClient>(m_poller, m_loop, *store);
+  m_store = std::make_unique<StoreClient>(
+      m_poller, m_loop, *store,
+      [this](uint64_t era, bool first) { OnStoreEra(era, first); });
   const uint64_t seed = m_peers.self().incarnation;
   const bool stale = m_settings.stale_reads;
   m_config_watcher = std::make_unique<KindWatcher>(
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -84,6 +84,11 @@
   void ApplyReplicaObject(const StoreObject& object);
   void ApplyReplicaList(const std::vector<StoreObject>& objects,
                         uint64_t removal_revision);
+  /// Called when the store states an era for the first time, and when it states
+  /// a higher one because it was restored.
+  void OnStoreEra(uint64_t era, bool first);
+  RevisionGossip MakeRevisionGossip(Millis now);
+  void OnRevisionGossip(const RevisionGossip& message);
   /// Applies what other VMs have seen of one kind of objects.
   static void ApplyReports(std::span<const RevisionReport> reports,
                            RevisionTimes& times,
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -65,6 +65,10 @@
           },
       .on_received =
           [this](const GossipMessage& message) {
+            if (m_store->era() != 0) {
+              // The message states no era; see RevisionGossip.
+              return;
+            }
             const Millis now = Poller::Now();
             m_config_watcher->OnRemoteRevision(message.config_revision, now);
             m_replica_watcher->OnRemoteRevision(message.replica_revision, now);
@@ -87,18 +91,9 @@
             m_replicas.RecordRateLimits(message.rate_limits, now);
           },
       .make_revision_gossip =
-          [this](Millis now) {
-            RevisionGossip message;
-            message.config = m_config_times.Recent(now, kMaxGossipedRevisions);
-            message.replicas =
-                m_replica_times.Recent(now, kMaxGossipedRevisions);
-            return message;
-          },
+          [this](Millis now) { return MakeRevisionGossip(now); },
       .on_revision_gossip =
-          [this](const RevisionGossip& message) {
-            ApplyReports(message.config, m_config_times, *m_config_watcher);
-            ApplyReports(message.replicas, m_replica_times, *m_replica_watcher);
-          }};
+          [this](const RevisionGossip& message) { OnRevisionGossip(message); }};
 }
 
 void Node::ApplyReports(std::span<const RevisionReport> reports,
--- a/unittests/fleet/revision_gossip_test.cc
+++ b/unittests/fleet/revision_gossip_test.cc
@@ -31,6 +31,35 @@
   EXPECT_EQ(decoded->replicas, MakeMessage().replicas);
 }
 
+// Guards against revisions of an era that VMs of the previous release compare
+// with their own: they drop messages with another first byte.
+TEST(RevisionGossipTest, EraHasAMessageOfItsOwn) {
+  RevisionGossip message = MakeMessage();
+  EXPECT_EQ(EncodeRevisionGossip(message).front(), 'V');
+  message.era = 3;
+  message.config_revision = 7;
+  message.replica_revision = 901;
+  const std::string bytes = EncodeRevisionGossip(message);
+  EXPECT_EQ(bytes.front(), 'E');
+  ASSERT_TRUE(IsRevisionGossip(bytes));
+  EXPECT_FALSE(IsReplicaGossip(bytes));
+  EXPECT_FALSE(DecodeGossip(bytes).ok());
+  const auto decoded = DecodeRevisionGossip(bytes);
+  ASSERT_TRUE(decoded.ok());
+  EXPECT_EQ(decoded->era, 3u);
+  EXPECT_EQ(decoded->config_revision, 7u);
+  EXPECT_EQ(decoded->replica_revision, 901u);
+  EXPECT_EQ(decoded->config, MakeMessage().config);
+  EXPECT_EQ(decoded->replicas, MakeMessage().replicas);
+  for (size_t size = 0; size < bytes.size(); ++size) {
+    EXPECT_FALSE(DecodeRevisionGossip(bytes.substr(0, size)).ok()) << size;
+  }
+  // The era is passed on also while nothing changes.
+  RevisionGossip era_only;
+  era_only.era = 1;
+  EXPECT_FALSE(era_only.empty());
+}
+
 // Guards against parts of a damaged message that are taken for a whole one.
 TEST(RevisionGossipTest, DamagedMessagesAreRejected) {
   const std::string bytes = EncodeRevisionGossip(MakeMessage());
@@ -50,6 +79,8 @@
   revisions.config.assign(kMaxGossipedRevisions,
                           {uint64_t{1} << 53, Millis(2999)});
   revisions.replicas = revisions.config;
+  revisions.era = uint64_t{1} << 20;
+  revisions.config_revision = revisions.replica_revision = uint64_t{1} << 53;
   ReplicaGossip replicas;
   replicas.sender = revisions.sender;
   EXPECT_EQ(ChooseReports(replicas, revisions, 1).size(), 1u);
--- a/unittests/fleet/vm_registry_test.cc
+++ b/unittests/fleet/vm_registry_test.cc
@@ -127,6 +127,29 @@
   EXPECT_TRUE(m_objects.contains("vm"));
 }
 
+// Guards against a VM that stays unregistered after the store was restored from
+// a copy without its registration, also if a write was in flight at that time.
+TEST_F(VmRegistryTest, RegistersAgainWhenAskedTo) {
+  const auto registry = MakeRegistry("vm");
+  registry->Start(Millis(0));
+  RunCalls();
+  m_objects.clear();
+  registry->RegisterAgain(Millis(20'000));
+  ASSERT_EQ(m_calls.size(), 1u);
+  RunCalls(1);
+  EXPECT_TRUE(m_objects.contains("vm"));
+  registry->RegisterAgain(Millis(21'000));
+  registry->RegisterAgain(Millis(21'000));
+  RunCalls(1);  // The write of the earlier era ends with a conflict.
+  m_objects.clear();
+  RunCalls();
+  EXPECT_TRUE(m_objects.contains("vm"));
+  registry->Deregister();
+  registry->RegisterAgain(Millis(30'000));
+  RunCalls();
+  EXPECT_FALSE(m_objects.contains("vm"));
+}
+
 // Two VMs that start at the same time must discover each other without waiting
 // for the next Refresh().
 TEST_F(VmRegistryTest, SimultaneousStartsFindEachOther) {
--- a/unittests/state/kind_watcher_test.cc
+++ b/unittests/state/kind_watcher_test.cc
@@ -260,6 +260,68 @@
   EXPECT_EQ(m_watches.size(), 2u) << "only the watch in progress is checked";
 }
 
+// Guards against revisions that are compared across eras: after a restore the
+// store assigns lower revisions again, and its changes would be ignored.
+TEST_F(KindWatcherTest, NewEraStartsAfresh) {
+  m_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 80, {}}, {"b", 90, {}}}, 100));
+  m_watcher.OnRemoteRevision(120, Millis(0));
+  m_watcher.OnEra(1);
+  ASSERT_EQ(m_lists.size(), 1u);
+  AnswerWatch(StoreResult::kOk, {{{{"late", 101, {}}, false}}, 101});
+  EXPECT_FALSE(m_objects.contains("late")) << "read in the earlier era";
+  StorePage page = Page({{"a", 70, {}}}, 75);
+  page.era = 1;
+  AnswerList(StoreResult::kOk, page);
+  EXPECT_EQ(m_objects, (std::map<std::string, uint64_t>{{"a", 70}}));
+  EXPECT_EQ(m_watch_request.revision, 75u);
+  EXPECT_EQ(m_watcher.last_change_revision(), 70u);
+  StoreEvents events = {{{{"a", 76, {}}, false}}, 76};
+  events.era = 1;
+  AnswerWatch(StoreResult::kOk, events);
+  EXPECT_EQ(m_objects.at("a"), 76u);
+  // A report of the earlier era causes no read.
+  m_watcher.OnRemoteRevision(76, Millis(10'000));
+  EXPECT_TRUE(m_lists.empty());
+}
+
+// Guards against a list that contains pages of two eras, and against responses
+// of an earlier era that are applied.
+TEST_F(KindWatcherTest, ResponsesOfOtherErasAreNotApplied) {
+  m_watcher.Start();
+  StorePage page = Page({{"a", 80, {}}}, 100, true);
+  page.era = 2;
+  AnswerList(StoreResult::kOk, page);
+  EXPECT_EQ(m_lists.size(), 1u) << "the first response tells the era";
+  page = Page({{"b", 60, {}}}, 70);
+  page.era = 3;
+  AnswerList(StoreResult::kOk, page);
+  EXPECT_FALSE(m_watcher.has_snapshot());
+  ASSERT_EQ(m_lists.size(), 1u);
+  EXPECT_EQ(m_lists[0].first, "") << "listed again from the start";
+  AnswerList(StoreResult::kOk, page);
+  EXPECT_EQ(m_objects, (std::map<std::string, uint64_t>{{"b", 60}}));
+  StoreEvents events = {{{{"c", 101, {}}, false}}, 101};
+  events.era = 2;
+  AnswerWatch(StoreResult::kOk, events);
+  EXPECT_FALSE(m_objects.contains("c"));
+  EXPECT_FALSE(m_watcher.reachable());
+}
+
+// Guards against a VM that goes by an earlier era until its watch ends, and
+// against a false report that causes lists again and again.
+TEST_F(KindWatcherTest, RemoteEraCausesOneList) {
+  m_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 80, {}}}, 100));
+  m_watcher.OnRemoteEra(0);
+  EXPECT_TRUE(m_lists.empty());
+  m_watcher.OnRemoteEra(1);
+  ASSERT_EQ(m_lists.size(), 1u);
+  AnswerList(StoreResult::kOk, Page({{"a", 80, {}}}, 100));
+  m_watcher.OnRemoteEra(1);
+  EXPECT_TRUE(m_lists.empty());
+}
+
 class StaleReadsTest : public KindWatcherTest {
  protected:
   KindWatcher m_stale_watcher{{.stale_reads = true}, Hooks(), 1};
@@ -304,6 +366,17 @@
   EXPECT_EQ(m_list_freshness, Freshness::kStale);
 }
 
+// Guards against a stale list of the state before the restore.
+TEST_F(StaleReadsTest, NewEraListsLatestState) {
+  m_stale_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  StoreEvents events = {{}, 8};
+  events.era = 1;
+  AnswerWatch(StoreResult::kOk, events);
+  ASSERT_EQ(m_lists.size(), 1u);
+  EXPECT_EQ(m_list_freshness, Freshness::kLatest);
+}
+
 // Guards against expensive checks of watches: the check may be stale, and only
 // the VMs that watch the latest state make it.
 TEST_F(StaleReadsTest, ChecksOfWatchesAreCheap) {
