--- a/lib/state/kind_watcher.cc
+++ b/lib/state/kind_watcher.cc
@@ -43,7 +43,9 @@
 }
 
 Freshness KindWatcher::ListFreshness() const {
-  return m_options.stale_reads ? Freshness::kStale : Freshness::kLatest;
+  const bool stale =
+      m_options.stale_reads && (m_has_snapshot || !m_options.latest_first_list);
+  return stale ? Freshness::kStale : Freshness::kLatest;
 }
 
 Freshness KindWatcher::WatchFreshness() const {
@@ -81,11 +83,49 @@
   ListNextPage();
 }
 
+void KindWatcher::OnEra(uint64_t era) {
+  if (era <= m_era) {
+    return;
+  }
+  m_era = era;
+  m_watch_revision = 0;
+  m_last_change_revision = 0;
+  m_applied_revision = 0;
+  m_remote_revision = 0;
+  m_lagging_since.reset();
+  m_object_revisions.clear();
+  // Before the first page, the list in flight is of the new era.
+  if (m_has_snapshot || !m_listed_objects.empty()) {
+    Relist(Freshness::kLatest);
+  }
+}
+
+void KindWatcher::OnRemoteEra(uint64_t era) {
+  if (era <= m_era || era <= m_remote_era || !m_has_snapshot || !m_reachable ||
+      m_resyncing) {
+    return;
+  }
+  m_remote_era = era;
+  Relist(Freshness::kLatest);
+}
+
+bool KindWatcher::AcceptEra(uint64_t era) {
+  const uint64_t generation = m_generation;
+  OnEra(era);
+  if (era < m_era) {
+    RelistAfterBackoff(StoreResult::kUnavailable);
+  }
+  return generation == m_generation;
+}
+
 void KindWatcher::OnPage(StoreResult result, StorePage page) {
   if (result != StoreResult::kOk) {
     RelistAfterBackoff(result);
     return;
   }
+  if (!AcceptEra(page.era)) {
+    return;
+  }
   SetReachable(true, result);
   // Changes made while the pages are read arrive again as events, because the
   // watch starts from the oldest page.
@@ -191,6 +231,9 @@
     return;
   }
   if (result == StoreResult::kOk) {
+    if (!AcceptEra(events.era)) {
+      return;
+    }
     ApplyEvents(events);
   }
   if (result == StoreResult::kRevisionTooOld ||
@@ -209,7 +252,13 @@
     return;
   }
   if (result != StoreResult::kOk) {
-    RelistAfterBackoff(result);
+    // A waiting watch may be cut off at any time. The store counts as
+    // unreachable only if it does not answer the list that follows.
+    m_resyncing = true;
+    ScheduleRelist();
+    return;
+  }
+  if (!AcceptEra(events.era)) {
     return;
   }
   ApplyEvents(events);
@@ -288,6 +337,10 @@
 void KindWatcher::RelistAfterBackoff(StoreResult result) {
   m_resyncing = false;
   SetReachable(false, result);
+  ScheduleRelist();
+}
+
+void KindWatcher::ScheduleRelist() {
   const double jitter_factor = 1 - kBackoffJitter * m_random.NextDouble();
   const Millis delay = m_backoff * jitter_factor;
   m_backoff = std::min(m_backoff * 2, m_options.max_backoff);
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -14,6 +14,7 @@
 #include "absl/status/status.h"
 #include "platform/store_client.h"
 #include "tanagervane/fleet/fleet_size.h"
+#include "tanagervane/fleet/latest_watchers.h"
 #include "tanagervane/fleet/replica_connections.h"
 #include "tanagervane/fleet/udp_gossip.h"
 #include "tanagervane/fleet/vm_registry.h"
@@ -90,6 +91,11 @@
   void ApplyReplicaObject(const StoreObject& object);
   void ApplyReplicaList(const std::vector<StoreObject>& objects,
                         uint64_t removal_revision);
+  /// Called when the store states an era for the first time, and when it states
+  /// a higher one because it was restored.
+  void OnStoreEra(uint64_t era, bool first);
+  RevisionGossip MakeRevisionGossip(Millis now);
+  void OnRevisionGossip(const RevisionGossip& message);
   /// Applies what other VMs have seen of one kind of objects.
   static void ApplyReports(std::span<const RevisionReport> reports,
                            RevisionTimes& times,
@@ -169,6 +175,7 @@
   /// Whether a live VM has reported a later version of the configuration.
   bool m_newer_config_known = false;
   Millis m_started_at;
+  LatestWatchRole m_watch_role;
   bool m_stopping = false;
   Millis m_stop_deadline;
 };
