Prove the configuration before keyed requests are served

With strict revocation, a VM that is cut off, was paused or was suspended must not run a request whose key was removed. ConfigProof holds how old the VM's configuration is on a clock that counts suspended time.

The dispatcher checks the proof at admission and before each attempt, hedge and retry.

--- a/include/tanagervane/fleet/udp_gossip.h
+++ b/include/tanagervane/fleet/udp_gossip.h
@@ -42,6 +42,9 @@
   std::function<RevisionGossip(Millis now)> make_revision_gossip;
   /// A message about changes of the store was accepted.
   std::function<void(const RevisionGossip&)> on_revision_gossip;
+  /// Takes a datagram that is no gossip, and returns whether it did. Optional.
+  std::function<bool(std::string_view bytes, const std::string& source)>
+      on_other_datagram;
 };
 
 /// Sends peer and quarantine records to a few peers in each gossip interval,
@@ -67,13 +70,20 @@
   /// state.
   void Announce(Millis now);
 
+  /// Sends a datagram from the gossip address. It may be lost.
+  void SendTo(const std::string& target, std::string_view bytes);
+
+  /// Whether `source` is the known gossip address of the VM.
+  bool IsAddressOf(std::string_view vm, const std::string& source) const {
+    return FindAddresses(vm).expected() == source;
+  }
+
   uint64_t received() const { return m_received; }
   /// Messages that were malformed or did not come from their sender's address.
   uint64_t rejected() const { return m_rejected; }
 
  private:
   void SendRound(Millis now);
-  void SendTo(const std::string& target, std::string_view bytes);
   void Receive();
   void ProcessDatagram(std::string_view bytes, const std::string& source);
   /// Passes a message other than GossipMessage to its hook if it is sound and
--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -77,6 +77,9 @@
   /// among them.
   uint64_t rate_limited_attempts = 0;
   uint64_t rate_limited_extra_attempts = 0;
+  /// Attempts, hedges and retries that were not sent because the configuration
+  /// was too old to rely on the request's key.
+  uint64_t unproved_attempts = 0;
 };
 
 /// State machine of all running requests. It has no clock and does no I/O: the
@@ -215,6 +218,9 @@
                           const PresentedKey& presented_key,
                           Millis now) const;
   ConfigCertainty CertaintyOfConfig(Millis now) const;
+  /// Whether an attempt may be sent now: while the VM ran or was stopped, the
+  /// key of the request's tenant may have been revoked.
+  bool MaySendFor(const Request& request, Millis now);
   /// Returns the answer to a request that was not admitted. Its key is unset.
   static FinalAnswer MakeIdentityRefusal(const Identity& identity);
 
--- a/include/tanagervane/state/kind_watcher.h
+++ b/include/tanagervane/state/kind_watcher.h
@@ -101,6 +101,10 @@
   /// The store's revision of the latest change that this VM has seen.
   uint64_t last_change_revision() const { return m_last_change_revision; }
 
+  /// All changes up to this revision of the store have been passed to the
+  /// hooks.
+  uint64_t watch_revision() const { return m_watch_revision; }
+
   /// True after the first complete list.
   bool has_snapshot() const { return m_has_snapshot; }
   bool reachable() const { return m_reachable; }
--- a/lib/fleet/udp_gossip.cc
+++ b/lib/fleet/udp_gossip.cc
@@ -144,6 +144,9 @@
                   source);
     return;
   }
+  if (m_hooks.on_other_datagram && m_hooks.on_other_datagram(bytes, source)) {
+    return;
+  }
   auto message = DecodeGossip(bytes);
   if (!message.ok()) {
     CountRejected("malformed", source);
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -121,6 +121,10 @@
   SubRequest& sub_request = request.sub_requests[index];
   const RouteSpec& spec = request.route->spec;
   sub_request.retry_at.reset();
+  if (!MaySendFor(request, now)) {
+    FailSubRequest(request, index, AnswerReason::kConfigUnproved);
+    return;
+  }
   if ((sub_request.may_have_run && !spec.idempotent) ||
       sub_request.reached_replicas >= spec.max_replicas) {
     FailSubRequest(request, index, sub_request.failure_reason);
@@ -190,7 +194,7 @@
   }
   sub_request.hedge_at.reset();
   if (sub_request.reached_replicas >= route.spec.max_replicas ||
-      now + median > request.deadline) {
+      now + median > request.deadline || !MaySendFor(request, now)) {
     return;
   }
   AttemptProfile profile = MakeProfile(route);
--- a/lib/serving/dispatcher_identity.cc
+++ b/lib/serving/dispatcher_identity.cc
@@ -18,6 +18,14 @@
                                   : ConfigCertainty();
 }
 
+bool Dispatcher::MaySendFor(const Request& request, Millis now) {
+  if (request.tenant == nullptr || CertaintyOfConfig(now).accepts_known_keys) {
+    return true;
+  }
+  ++m_stats.unproved_attempts;
+  return false;
+}
+
 FinalAnswer Dispatcher::MakeIdentityRefusal(const Identity& identity) {
   FinalAnswer answer;
   if (identity.verdict == IdentityVerdict::kUnauthenticated) {
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -3,6 +3,7 @@
 #include "tools/tanagervane-node/node.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "platform/caller_codec.h"
@@ -175,6 +176,10 @@
       m_directory(m_peers, incarnation),
       m_gossip(m_poller, m_peers, m_quarantine, GossipHooks()),
       m_registry(m_settings.id, RegistryHooks()),
+      m_proof(MakeProofOptions(m_settings.revocation_bound,
+                               m_settings.config_apply_bound)),
+      m_proof_questions(std::random_device()()),
+      m_proof_random(incarnation),
       m_started_at(Poller::Now()) {
   m_settings.retries.full_slack_from = m_started_at + m_settings.retries.window;
   m_poller.SetAlarmHook([this] {
@@ -403,7 +408,8 @@
 }
 
 void Node::UpdateState() {
-  if (IsReady() && m_peers.self().state == PeerState::kStarting) {
+  if (IsReady() && !m_left_out &&
+      m_peers.self().state == PeerState::kStarting) {
     m_peers.SetState(PeerState::kServing);
     LogEvent("ready")
         .Field("config_version", m_dispatcher.plan()->version())
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -14,9 +14,11 @@
 #include "absl/status/status.h"
 #include "platform/store_client.h"
 #include "tanagervane/fleet/fleet_size.h"
+#include "tanagervane/fleet/proof_exchange.h"
 #include "tanagervane/fleet/replica_connections.h"
 #include "tanagervane/fleet/udp_gossip.h"
 #include "tanagervane/fleet/vm_registry.h"
+#include "tanagervane/identity/config_proof.h"
 #include "tanagervane/net/event_loop.h"
 #include "tanagervane/net/http_listener.h"
 #include "tanagervane/net/poller.h"
@@ -28,11 +30,20 @@
 #include "tanagervane/state/peer_table.h"
 #include "tanagervane/state/rejected_entries.h"
 #include "tanagervane/state/revision_times.h"
+#include "tanagervane/support/random.h"
 #include "tools/tanagervane-node/request_log.h"
 #include "tools/tanagervane-node/settings.h"
 
 namespace tanagervane {
 
+struct ProofStats {
+  uint64_t calls = 0;
+  uint64_t failed_calls = 0;
+  uint64_t questions = 0;
+  uint64_t answers = 0;
+  uint64_t rejected = 0;
+};
+
 /// Connects the serving core to callers, replicas, the platform's store and the
 /// other VMs.
 class Node {
@@ -74,6 +85,26 @@
   std::optional<HttpResponseMessage> AnswerFromHeader(
       const HttpRequestMessage& header);
   ConfigCertainty CertaintyOfConfig() const;
+
+  // Proof that the configuration is up to date (node_proof.cc).
+  /// Whether keyed requests need a proof.
+  bool NeedsProof() const;
+  /// The era of the store to which the configuration belongs.
+  uint64_t ConfigEra() const { return 0; }
+  /// Renews the proof; called in each gossip round.
+  void RunProofRound(std::span<const PeerTable::Peer> peers);
+  void CallStoreForProof();
+  void OnProofEvents(StoreResult result,
+                     const StoreEvents& events,
+                     Millis sent_at);
+  /// Reads the latest configuration, which another VM has in force.
+  void ReadNewerConfig();
+  bool OnProofDatagram(std::string_view bytes, const std::string& source);
+  void OnProofRequest(std::string_view bytes, const std::string& source);
+  void OnProofResponse(std::string_view bytes, const std::string& source);
+  /// Leaves or enters the directories of all VMs, and logs changes.
+  void UpdateProofState();
+  void UpdateProofMetrics();
   void ApplyLimits(const CallerLimits& limits);
   void OnAnswer(const FinalAnswer& answer);
   void AnswerAddresses(ExchangeId exchange);
@@ -149,6 +180,19 @@
   bool m_watches_latest = false;
   /// Whether a live VM has reported a later version of the configuration.
   bool m_newer_config_known = false;
+  ConfigProof m_proof;
+  ProofQuestions m_proof_questions;
+  Random m_proof_random;
+  /// All changes of the configuration up to this revision have been processed.
+  uint64_t m_proof_revision = 0;
+  /// Whether the last check found a valid proof.
+  bool m_has_proof = false;
+  /// Since when this VM has lacked a proof while another one has one.
+  std::optional<Millis> m_unproved_since;
+  /// Whether the directories omit this VM for lack of a proof.
+  bool m_left_out = false;
+  std::optional<Millis> m_newer_config_read_at;
+  ProofStats m_proof_stats;
   Millis m_started_at;
   bool m_stopping = false;
   Millis m_stop_deadline;
--- a/tools/tanagervane-node/node_identity.cc
+++ b/tools/tanagervane-node/node_identity.cc
@@ -1,6 +1,7 @@
 // Identity of callers in Node.
 
 #include "platform/caller_codec.h"
+#include "tanagervane/support/boot_clock.h"
 #include "tools/tanagervane-node/node.h"
 
 namespace tanagervane {
@@ -14,6 +15,9 @@
 }  // namespace
 
 ConfigCertainty Node::CertaintyOfConfig() const {
+  if (m_settings.strict_revocation) {
+    return m_proof.Certainty(BootNow());
+  }
   return {.rejects_unknown_keys =
               m_peers.self().store_reachable && !m_newer_config_known,
           .retry_after = kUnsureRetryAfter};
--- a/tools/tanagervane-node/node_lifecycle.cc
+++ b/tools/tanagervane-node/node_lifecycle.cc
@@ -30,6 +30,11 @@
   m_settings.stop_grace = settings.stop_grace;
   m_settings.address_lifetime = settings.address_lifetime;
   m_settings.max_descriptors = settings.max_descriptors;
+  m_settings.strict_revocation = settings.strict_revocation;
+  m_settings.revocation_bound = settings.revocation_bound;
+  m_settings.config_apply_bound = settings.config_apply_bound;
+  m_proof.SetOptions(
+      MakeProofOptions(settings.revocation_bound, settings.config_apply_bound));
   ApplyLimits(m_dispatcher.plan() ? m_dispatcher.plan()->limits()
                                   : CallerLimits());
   m_replicas.SetFleetSize(m_fleet_size, m_settings.retries);
--- a/tools/tanagervane-node/node_metrics.cc
+++ b/tools/tanagervane-node/node_metrics.cc
@@ -63,6 +63,7 @@
             static_cast<double>(m_connections.stats().open));
   set_gauge("tanagervane_replicas", "Known replicas.",
             static_cast<double>(m_replicas.size()));
+  UpdateProofMetrics();
   set_gauge("tanagervane_config_version",
             "Version of the configuration in force.",
             static_cast<double>(m_peers.self().document_revision));
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -103,6 +103,10 @@
           [this](const RevisionGossip& message) {
             ApplyReports(message.config, m_config_times, *m_config_watcher);
             ApplyReports(message.replicas, m_replica_times, *m_replica_watcher);
+          },
+      .on_other_datagram =
+          [this](std::string_view bytes, const std::string& source) {
+            return OnProofDatagram(bytes, source);
           }};
 }
 
@@ -190,6 +194,11 @@
     return;
   }
   const auto config = DecodeConfig(object);
+  // An invalid or outdated configuration leaves the one in force, so it counts
+  // as processed.
+  m_proof.SetConfig({.era = ConfigEra(),
+                     .revision = object.revision,
+                     .version = config.ok() ? config->version : 0});
   if (!config.ok()) {
     LogRejected("config_invalid", object, config.status(), m_rejected_configs);
     return;
@@ -324,6 +333,7 @@
         return peer.liveness != Liveness::kDead &&
                peer.record.document_revision > m_peers.self().document_revision;
       });
+  RunProofRound(peers);
   const size_t vms = EstimateFleetSize(view);
   if (vms == m_fleet_size) {
     return;
--- a/unittests/serving/dispatcher_identity_test.cc
+++ b/unittests/serving/dispatcher_identity_test.cc
@@ -127,6 +127,40 @@
   EXPECT_FALSE(m_harness.sent_attempts.empty());
 }
 
+// Guards against a hedge by a VM that was stopped, or has lost its proof, after
+// it admitted the request.
+TEST_F(DispatcherIdentityTest, NoHedgeIsSentWithoutAProof) {
+  Submit("/all/x", {1, "k1"});
+  m_harness.PopSentAttempts();
+  m_certainty.accepts_known_keys = false;
+  m_harness.Advance(Millis(150));
+  EXPECT_TRUE(m_harness.sent_attempts.empty());
+  EXPECT_GT(m_harness.dispatcher.stats().unproved_attempts, 0U);
+}
+
+// The same for a retry; a request that no replica has run is refused.
+TEST_F(DispatcherIdentityTest, NoRetryIsSentWithoutAProof) {
+  Submit("/one/x", {1, "k1"});
+  const auto attempts = m_harness.PopSentAttempts();
+  ASSERT_EQ(attempts.size(), 1U);
+  m_certainty.accepts_known_keys = false;
+  m_harness.dispatcher.OnReply(attempts[0].attempt_id,
+                               DispatcherHarness::Rejected(), m_harness.now);
+  m_harness.Advance(Millis(100));
+  EXPECT_TRUE(m_harness.sent_attempts.empty());
+  ASSERT_EQ(m_harness.answers.size(), 1U);
+  EXPECT_EQ(m_harness.answers[0].kind, AnswerKind::kRefused);
+  EXPECT_EQ(m_harness.answers[0].reason, AnswerReason::kConfigUnproved);
+}
+
+// A public route needs no proof at any time.
+TEST_F(DispatcherIdentityTest, PublicRequestsAreHedgedWithoutAProof) {
+  m_certainty = {false, false, Millis(120)};
+  Submit("/open/x", {});
+  m_harness.Advance(Millis(150));
+  EXPECT_GT(m_harness.dispatcher.stats().hedges, 0U);
+}
+
 // Guards against a body that is read although the header decides.
 TEST_F(DispatcherIdentityTest, TheHeaderAloneIsRefused) {
   const auto check = [this](const std::string& target,
