--- a/lib/fleet/udp_gossip.cc
+++ b/lib/fleet/udp_gossip.cc
@@ -156,6 +156,9 @@
     ProcessReport(DecodeQuotaMessage(bytes), m_hooks.on_quota, source);
     return;
   }
+  if (m_hooks.on_other_datagram && m_hooks.on_other_datagram(bytes, source)) {
+    return;
+  }
   auto message = DecodeGossip(bytes);
   if (!message.ok()) {
     CountRejected("malformed", source);
--- a/tools/tanagervane-node/node_era.cc
+++ b/tools/tanagervane-node/node_era.cc
@@ -9,6 +9,8 @@
   // Before the first response, reports of other VMs count as of era 0.
   m_config_times.Clear();
   m_replica_times.Clear();
+  m_proof.OnEra(era);
+  m_proof_revision = 0;
   if (!first) {
     const Millis now = Poller::Now();
     LogEvent("store_era").Field("era", era);
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -95,7 +95,11 @@
       .on_revision_gossip =
           [this](const RevisionGossip& message) { OnRevisionGossip(message); },
       .on_quota =
-          [this](const QuotaMessage& message) { OnQuotaMessage(message); }};
+          [this](const QuotaMessage& message) { OnQuotaMessage(message); },
+      .on_other_datagram =
+          [this](std::string_view bytes, const std::string& source) {
+            return OnProofDatagram(bytes, source);
+          }};
 }
 
 void Node::ApplyReports(std::span<const RevisionReport> reports,
@@ -182,6 +186,11 @@
     return;
   }
   const auto config = DecodeConfig(object);
+  // An invalid or outdated configuration leaves the one in force, so it counts
+  // as processed.
+  m_proof.SetConfig({.era = m_store->era(),
+                     .revision = object.revision,
+                     .version = config.ok() ? config->version : 0});
   if (!config.ok()) {
     LogRejected("config_invalid", object, config.status(), m_rejected_configs);
     return;
@@ -321,6 +330,7 @@
         return peer.liveness != Liveness::kDead &&
                peer.record.document_revision > m_peers.self().document_revision;
       });
+  RunProofRound(peers);
   const size_t vms = EstimateFleetSize(view);
   if (vms == m_fleet_size) {
     return;
