Spread the choices of replicas by VMs with old load reports

All VMs prefer the replica with the lowest estimate, and an old report counts as no load, so under high load replicas are overloaded in turn. The choice now forecasts the load of other VMs from the usual load, includes its uncertainty in the expected queue and draws a replica with a probability that falls with its cost, less steeply the older the reports. The reported work time enters the estimate. Below half load the choice is as before; policy.even_load switches the mechanism off.

--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -128,6 +128,7 @@
   void CheckReplicaHealth(Millis now);
 
   size_t running_requests() const { return m_requests.size(); }
+  const ReplicaChooser& chooser() const { return m_chooser; }
   const DispatcherStats& stats() const { return m_stats; }
 
  private:
--- a/include/tanagervane/serving/replica_chooser.h
+++ b/include/tanagervane/serving/replica_chooser.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -43,6 +44,9 @@
   bool cancel_failed = true;
   /// Prefers replicas of the own data centre.
   bool local_first = true;
+  /// Spreads the choices of VMs that know little about the present load, and
+  /// includes the reported work time in estimates; see even_load.h.
+  bool even_load = true;
 };
 
 /// Whether an attempt can be sent to a replica.
@@ -103,6 +107,10 @@
       std::span<const ServingReplica* const> exclude,
       Millis now);
 
+  /// Returns the standard deviation of the estimated requests per slot among
+  /// the service's replicas; nullopt if fewer than two have reported a load.
+  std::optional<double> LoadSpread(const Service& service, Millis now) const;
+
   /// Updates the replica's slowness with the latency of an attempt.
   static void RecordLatency(ServingReplica& replica,
                             Millis latency,
@@ -120,6 +128,17 @@
  private:
   double Slowness(const ServingReplica& replica, Millis now) const;
   double EstimatedLoad(const ServingReplica& replica, Millis now) const;
+  /// Expected number of requests that must end before the replica has a slot.
+  double QueueLength(const ServingReplica& replica, Millis now) const;
+  /// Returns how strongly the choice prefers a lower cost if choices are spread
+  /// over the replicas; see Preference(). Nullopt if they are not.
+  std::optional<double> ChoicePreference(const Service& service,
+                                         Millis now) const;
+  /// Returns a partly random value; the replica with the lowest one is chosen.
+  double ChoiceCost(const ServingReplica& replica,
+                    const AttemptProfile& profile,
+                    std::optional<double> preference,
+                    Millis now);
 
   ServingPolicy m_policy;
   std::string m_data_centre;
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -88,6 +88,13 @@
   Millis load_reported_at;
   /// The load in `load` less this VM's attempts in flight at that time.
   double other_load = 0;
+  /// Moving averages of `other_load` and of all requests on the replica.
+  double usual_other_load = 0;
+  double usual_load = 0;
+  /// Moving average, with the weights of `slowness`, of the reported work time
+  /// as a multiple of the usual one: the part of `slowness` that a later report
+  /// replaces.
+  double slowness_work_time = 1;
 
   /// The latest send time among answered attempts, and the time of the latest
   /// answer; -1 before the first answer.
--- a/include/tanagervane/serving/self_report.h
+++ b/include/tanagervane/serving/self_report.h
@@ -29,6 +29,9 @@
   uint32_t running = 0;
   uint32_t waiting = 0;
   uint32_t slots = 0;
+  /// How long work takes on the replica's machine now, in percent of the usual
+  /// time.
+  uint32_t work_time_percent = 100;
 };
 
 /// The statements of a replica about itself in one response.
--- a/lib/serving/replica_chooser.cc
+++ b/lib/serving/replica_chooser.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "tanagervane/serving/even_load.h"
+
 namespace tanagervane {
 
 namespace {
@@ -15,8 +17,9 @@
 /// The measured fraction of failed attempts decays towards 0 likewise.
 constexpr Millis kErrorTimeConstant{3000};
 
-/// Half-life of the weight of a reported load.
-constexpr Millis kLoadHalfLife{150};
+/// Time constant of the usual load of a replica. Long compared with requests,
+/// short compared with changes of demand.
+constexpr Millis kUsualLoadTimeConstant{4000};
 
 /// Minimum slowness of a replica while it warms up.
 constexpr double kWarmUpSlowness = 1.6;
@@ -26,6 +29,11 @@
 constexpr double kErrorGain = 0.2;
 constexpr double kMinSlownessSample = 0.3;
 
+/// Bounds of the reported work time as a multiple of the usual one, so that an
+/// invalid report does not exclude a replica.
+constexpr double kMinWorkTime = 0.2;
+constexpr double kMaxWorkTime = 20;
+
 /// A latency sample counts as at most this multiple of the current slowness (or
 /// of 1, if greater): one answer delayed by a pause does not predict the next.
 constexpr double kMaxSampleFactor = 3;
@@ -92,6 +100,43 @@
   return std::exp(-std::max(0.0, age / time_constant));
 }
 
+/// Returns the reported work time as a multiple of the usual one.
+double WorkTime(const ServingReplica& replica, Millis now) {
+  if (!replica.load) {
+    return 1;
+  }
+  const double reported = std::clamp(replica.load->work_time_percent / 100.0,
+                                     kMinWorkTime, kMaxWorkTime);
+  return 1 + (reported - 1) *
+                 Decay(now - replica.load_reported_at, kSlownessTimeConstant);
+}
+
+/// What the replicas of a service have reported.
+struct ServiceReports {
+  /// Mean usual load for each slot.
+  double busy_fraction = 0;
+  /// Mean weight of the reports by their age.
+  double freshness = 0;
+};
+
+ServiceReports SummariseReports(const Service& service, Millis now) {
+  double load = 0;
+  double slots = 0;
+  ServiceReports reports;
+  for (const auto& replica : service.replicas) {
+    if (replica->load) {
+      load += replica->usual_load;
+      slots += std::max<uint32_t>(1, replica->registration.slots);
+      reports.freshness += ReportWeight(now - replica->load_reported_at);
+    }
+  }
+  if (slots > 0) {
+    reports.busy_fraction = load / slots;
+    reports.freshness /= static_cast<double>(service.replicas.size());
+  }
+  return reports;
+}
+
 }  // namespace
 
 ReplicaChooser::ReplicaChooser(ServingPolicy policy,
@@ -120,7 +165,11 @@
   }
   const double decay =
       Decay(now - replica.slowness_updated_at, kSlownessTimeConstant);
-  const double learned = 1 + (replica.slowness - 1) * decay;
+  double learned = 1 + (replica.slowness - 1) * decay;
+  if (m_policy.even_load) {
+    const double included = 1 + (replica.slowness_work_time - 1) * decay;
+    learned = learned / included * WorkTime(replica, now);
+  }
   return now < replica.warming_up_until ? std::max(learned, kWarmUpSlowness)
                                         : learned;
 }
@@ -131,9 +180,53 @@
   if (!m_policy.reported_load || !replica.load) {
     return own_attempts;
   }
-  const double weight =
-      std::exp2(-((now - replica.load_reported_at) / kLoadHalfLife));
-  return own_attempts + replica.other_load * weight;
+  return own_attempts +
+         replica.other_load * ReportWeight(now - replica.load_reported_at);
+}
+
+double ReplicaChooser::QueueLength(const ServingReplica& replica,
+                                   Millis now) const {
+  const double slots = std::max<uint32_t>(1, replica.registration.slots);
+  if (!replica.load) {
+    return std::max(0.0, EstimatedLoad(replica, now) + 1 - slots);
+  }
+  const auto own = static_cast<double>(replica.attempts.size());
+  return ExpectedQueue(ForecastLoad({.latest = replica.other_load,
+                                     .usual = replica.usual_other_load,
+                                     .age = now - replica.load_reported_at},
+                                    own),
+                       slots);
+}
+
+std::optional<double> ReplicaChooser::ChoicePreference(const Service& service,
+                                                       Millis now) const {
+  if (!m_policy.even_load || !m_policy.reported_load) {
+    return std::nullopt;
+  }
+  const ServiceReports reports = SummariseReports(service, now);
+  if (!ShouldSpread(reports.busy_fraction)) {
+    return std::nullopt;
+  }
+  return Preference(reports.freshness, reports.busy_fraction);
+}
+
+double ReplicaChooser::ChoiceCost(const ServingReplica& replica,
+                                  const AttemptProfile& profile,
+                                  std::optional<double> preference,
+                                  Millis now) {
+  TimeEstimate estimate = Estimate(replica, profile, now);
+  if (!preference) {
+    return estimate.total.count() * (1 + kJitter * m_random.NextDouble());
+  }
+  const double slots = std::max<uint32_t>(1, replica.registration.slots);
+  const Millis run_time = profile.median_latency * Slowness(replica, now);
+  estimate.total +=
+      run_time * (QueueLength(replica, now) / slots) - estimate.wait;
+  // The lowest of these values belongs to a replica with a probability
+  // proportional to slots / cost ^ preference.
+  const double exponential = -std::log(1 - m_random.NextDouble());
+  return *preference * std::log(estimate.total.count()) - std::log(slots) +
+         std::log(exponential);
 }
 
 TimeEstimate ReplicaChooser::Estimate(const ServingReplica& replica,
@@ -207,6 +300,7 @@
     Millis now) {
   std::shared_ptr<ServingReplica> best;
   double best_cost = 0;
+  const std::optional<double> preference = ChoicePreference(service, now);
   for (const auto& replica : service.replicas) {
     const RateLimiter& limiter = replica->limits->rate_limiter;
     if (Classify(*replica, now) != ReplicaAvailability::kAvailable ||
@@ -217,8 +311,7 @@
     if (exclude.empty() && limiter.IsStale(now) && !replica->overdue) {
       return replica;
     }
-    const double jitter = 1 + kJitter * m_random.NextDouble();
-    const double cost = Estimate(*replica, profile, now).total.count() * jitter;
+    const double cost = ChoiceCost(*replica, profile, preference, now);
     if (!best || cost < best_cost) {
       best = replica;
       best_cost = cost;
@@ -227,6 +320,28 @@
   return best;
 }
 
+std::optional<double> ReplicaChooser::LoadSpread(const Service& service,
+                                                 Millis now) const {
+  double sum = 0;
+  double squares = 0;
+  double count = 0;
+  for (const auto& replica : service.replicas) {
+    if (!replica->load) {
+      continue;
+    }
+    const double slots = std::max<uint32_t>(1, replica->registration.slots);
+    const double load = EstimatedLoad(*replica, now) / slots;
+    sum += load;
+    squares += load * load;
+    ++count;
+  }
+  if (count < 2) {
+    return std::nullopt;
+  }
+  const double mean = sum / count;
+  return std::sqrt(std::max(0.0, squares / count - mean * mean));
+}
+
 void ReplicaChooser::RecordLatency(ServingReplica& replica,
                                    Millis latency,
                                    Millis median_latency,
@@ -238,6 +353,9 @@
       std::clamp(latency / std::max(median_latency, Millis(0.1)),
                  kMinSlownessSample, std::max(1.0, current) * kMaxSampleFactor);
   replica.slowness = current + (sample - current) * kSlownessGain;
+  const double work_time = 1 + (replica.slowness_work_time - 1) * decay;
+  replica.slowness_work_time =
+      work_time + (WorkTime(replica, now) - work_time) * kSlownessGain;
   replica.slowness_updated_at = now;
 }
 
@@ -245,10 +363,16 @@
                                 const LoadReport& load,
                                 Millis now) {
   const double reported = load.running + load.waiting;
+  const double other =
+      std::max(0.0, reported - static_cast<double>(replica.attempts.size()));
+  const double kept = replica.load ? Decay(now - replica.load_reported_at,
+                                           kUsualLoadTimeConstant)
+                                   : 0;
+  replica.usual_load = reported + (replica.usual_load - reported) * kept;
+  replica.usual_other_load = other + (replica.usual_other_load - other) * kept;
   replica.load = load;
   replica.load_reported_at = now;
-  replica.other_load =
-      std::max(0.0, reported - static_cast<double>(replica.attempts.size()));
+  replica.other_load = other;
 }
 
 void ReplicaChooser::RecordOutcome(ServingReplica& replica,
--- a/tools/tanagervane-node/node_metrics.cc
+++ b/tools/tanagervane-node/node_metrics.cc
@@ -2,8 +2,37 @@
 
 #include "tools/tanagervane-node/node.h"
 
+#include <algorithm>
+
 namespace tanagervane {
 
+namespace {
+
+/// How unevenly replicas are loaded, over all services.
+struct ServiceSpread {
+  double mean = 0;
+  double max = 0;
+};
+
+ServiceSpread MeasureSpread(ReplicaSet& replicas,
+                            const Dispatcher& dispatcher) {
+  const Millis now = Poller::Now();
+  ServiceSpread spread;
+  double sum = 0;
+  size_t count = 0;
+  replicas.ForEachService([&](Service& service) {
+    if (const auto value = dispatcher.chooser().LoadSpread(service, now)) {
+      sum += *value;
+      spread.max = std::max(spread.max, *value);
+      ++count;
+    }
+  });
+  spread.mean = count > 0 ? sum / static_cast<double>(count) : 0;
+  return spread;
+}
+
+}  // namespace
+
 void Node::UpdateMetrics() {
   MetricsRegistry& metrics = m_request_log.metrics();
   const auto set_counter = [&](std::string_view name, std::string_view help,
@@ -44,6 +73,15 @@
                              double value) {
     metrics.GetGauge(name, help).Set(value);
   };
+  const ServiceSpread spread = MeasureSpread(m_replicas, m_dispatcher);
+  set_gauge("tanagervane_replica_load_spread",
+            "Standard deviation of the estimated requests per slot among the "
+            "replicas of a service, mean of all services.",
+            spread.mean);
+  set_gauge("tanagervane_replica_load_spread_max",
+            "As tanagervane_replica_load_spread, of the service with the "
+            "highest value.",
+            spread.max);
   set_gauge("tanagervane_running_requests", "Requests without an answer.",
             static_cast<double>(m_dispatcher.running_requests()));
   set_gauge("tanagervane_caller_connections", "Open connections of callers.",
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -349,6 +349,25 @@
   EXPECT_EQ(load->slots, 8u);
 }
 
+// Guards against losing the load of services that state how long work takes,
+// and against accepting a malformed report.
+TEST_F(ReplyTest, LoadReportMayStateTheWorkTime) {
+  const auto parse = [this](const std::string& text) {
+    m_response.fields = {};
+    m_response.fields.Add("Load", text);
+    return DecodeReply(m_response).self_report.load;
+  };
+  ASSERT_TRUE(parse("3,1,8"));
+  EXPECT_EQ(parse("3,1,8")->work_time_percent, 100u);
+  ASSERT_TRUE(parse("3,1,8,250"));
+  EXPECT_EQ(parse("3,1,8,250")->slots, 8u);
+  EXPECT_EQ(parse("3,1,8,250")->work_time_percent, 250u);
+  for (const char* text : {"", "3", "3,1", "3,1,", "3,1,8,", "3,1,8,x",
+                           "3,1,8,-5", "3,1,8,100,1", "3,1,8 "}) {
+    EXPECT_FALSE(parse(text)) << text;
+  }
+}
+
 // The request names its replica, because another one may have taken over the
 // address, and must not state more time than is left.
 TEST_F(ReplyTest, AttemptNamesReplicaAndRemainingTime) {
--- a/unittests/serving/replica_chooser_test.cc
+++ b/unittests/serving/replica_chooser_test.cc
@@ -173,5 +173,40 @@
             Millis(0));
 }
 
+// Guards against estimates that ignore that work takes longer on a machine, and
+// against counting it twice when answers show it too.
+TEST_F(ReplicaChooserTest, ReportedWorkTimeCountsOnceAndDecays) {
+  AddReplicas();
+  ServingReplica& replica = GetReplica("a");
+  const LoadReport twice{0, 0, 5, 200};
+  ReplicaChooser::RecordLoad(replica, twice, Millis(0));
+  const auto estimate = [&](Millis now) {
+    return m_chooser.Estimate(replica, kProfile, now).total;
+  };
+  const Millis usual = m_chooser.Estimate(GetReplica("b"), kProfile, {}).total;
+  EXPECT_GT(estimate(Millis(0)), usual * 1.6);
+  for (int i = 0; i < 30; ++i) {
+    ReplicaChooser::RecordLatency(replica, Millis(40), Millis(20), Millis(0));
+  }
+  EXPECT_LT(estimate(Millis(0)), usual * 2.1);
+  EXPECT_GT(estimate(Millis(0)), usual * 1.6);
+  EXPECT_LT(estimate(Millis(40'000)), usual * 1.1);
+  ReplicaChooser::RecordLoad(replica, LoadReport{0, 0, 5, 100}, Millis(1));
+  EXPECT_LT(estimate(Millis(1)), usual * 1.1);
+}
+
+// Guards against VMs that all send to the same replica because it has the
+// lowest estimate in reports that are old, and against ignoring fresh reports.
+TEST_F(ReplicaChooserTest, OldReportsOfBusyReplicasSpreadChoices) {
+  AddReplicas();
+  ReplicaChooser::RecordLoad(GetReplica("a"), LoadReport{5, 2, 5}, Millis(0));
+  ReplicaChooser::RecordLoad(GetReplica("b"), LoadReport{5, 0, 5}, Millis(0));
+  ReplicaChooser::RecordLoad(GetReplica("c"), LoadReport{5, 1, 5}, Millis(0));
+  EXPECT_GT(CountChoices(m_chooser, Millis(0))["b"], 280);
+  for (const auto& [id, count] : CountChoices(m_chooser, Millis(1000))) {
+    EXPECT_GT(count, 20) << id;
+  }
+}
+
 }  // namespace
 }  // namespace tanagervane
