Keep a proof valid while a change of the configuration spreads

Cause: a peer with a greater version voided the proofs of all VMs that lacked the change, so each change interrupted keyed requests for up to a second.

--- a/lib/identity/config_proof.cc
+++ b/lib/identity/config_proof.cc
@@ -176,7 +176,8 @@
 ConfigCertainty ConfigProof::Certainty(Millis now) const {
   const auto age = Age(now);
   return {.accepts_known_keys = age && *age <= m_options.max_age,
-          .rejects_unknown_keys = age && *age <= m_options.max_age_to_reject,
+          .rejects_unknown_keys = age && *age <= m_options.max_age_to_reject &&
+                                  !NewerVersionKnown(now),
           .retry_after = RetryAfter(now)};
 }
 
