Restore the stand-in's store from an earlier copy in a process test

The stand-in states an era when it has one, can be restored from a copy, and answers a watch of a revision that it does not have with 410.

--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -2,8 +2,8 @@
 
 Runs on loopback within the test's process. The store has revisions, pages,
 watches and conditional writes. Its faults: late or no answers, 503 to every
-call, watches without events, writes without an answer, a discarded history,
-and endless replies. Each replica answers with a Server-Seal header that the
+call, watches without events, writes without an answer, a discarded history, a
+restore from an earlier copy, and endless replies. Each replica answers with a Server-Seal header that the
 test can check and records the requests that it ran. Its faults: late or no
 answers, rejections, errors, and reset, truncated, surplus or endless replies.
 """
@@ -182,6 +182,8 @@
         # Watches from before this revision get 410.
         self.oldest_revision = 0
         self.revision = 1
+        # Increases when the store is restored; None: responses state no era.
+        self.era = None
         self.changed = None
         self.calls = 0
         # Faults.
@@ -210,6 +212,30 @@
     def forget_history(self):
         self.oldest_revision = self.revision
 
+    def copy(self):
+        """Returns a copy of the state, for restore()."""
+        return self.platform.call(self.read_state())
+
+    async def read_state(self):
+        return (self.revision, list(self.events), list(self.change_times),
+                {kind: dict(items) for kind, items in self.objects.items()})
+
+    def restore(self, state):
+        """Begins a new era with an earlier state. Closes all connections, as
+        the store was down for a moment."""
+        self.platform.call(self.load_state(state))
+
+    async def load_state(self, state):
+        self.revision, events, change_times, objects = state
+        self.events = list(events)
+        self.change_times = list(change_times)
+        self.objects = collections.defaultdict(dict)
+        for kind, items in objects.items():
+            self.objects[kind] = dict(items)
+        self.era = (self.era or 0) + 1
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def apply(self, kind, name, spec):
         old = self.objects[kind].get(name)
         if spec is not None and old and old["spec"] == spec:
@@ -230,6 +256,17 @@
         return item
 
     async def answer(self, request):
+        era = self.era
+        reply = await self.answer_call(request)
+        if era != self.era:
+            # The call was received before the restore.
+            return None
+        if not isinstance(reply, bytes) or era is None:
+            return reply
+        status_line, rest = reply.split(b"\r\n", 1)
+        return status_line + b"\r\nStore-Era: %d\r\n" % era + rest
+
+    async def answer_call(self, request):
         self.calls += 1
         if self.silent:
             await asyncio.sleep(3600)
@@ -289,7 +326,7 @@
         since = int(query["watch"])
         deadline = time.monotonic() + int(query["waitMs"]) / 1000
         while True:
-            if since < self.oldest_revision:
+            if since < self.oldest_revision or since > self.revision:
                 return response(410)
             revision = self.visible_revision(query)
             found = [] if self.omit_events else [
