Restore the store in the soak and describe its eras

With even seeds the soak's store states an era and is restored from a copy; odd seeds run without eras.

--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -207,7 +207,12 @@
         self.platform.call(self.apply(kind, name, spec))
 
     def delete(self, kind, name):
-        self.platform.call(self.apply(kind, name, None))
+        self.platform.call(self.remove(kind, name))
+
+    async def remove(self, kind, name):
+        # A restore may have removed the object.
+        if name in self.objects[kind]:
+            await self.apply(kind, name, None)
 
     def forget_history(self):
         self.oldest_revision = self.revision
@@ -232,6 +237,7 @@
         self.objects = collections.defaultdict(dict)
         for kind, items in objects.items():
             self.objects[kind] = dict(items)
+        self.oldest_revision = min(self.oldest_revision, self.revision)
         self.era = (self.era or 0) + 1
         for writer in list(self.writers):
             writer.transport.abort()
--- a/integration/soak_platform.py
+++ b/integration/soak_platform.py
@@ -19,7 +19,10 @@
 - open connections to replicas go silent while new ones work;
 - replicas send replies without end or lengths that do not fit, or late copies
   of a rejected health check;
-- stale reads of the store become seconds old.
+- stale reads of the store become seconds old;
+- with an even seed, the store states an era and is restored from a copy that is
+  up to two seconds old, and the operator and the replicas write again what was
+  lost.
 Callers reuse connections and check every answer at once; after the faults, the
 executions that replicas recorded are compared with what callers saw, and the
 requests that reached them with what they had stated.
@@ -106,6 +109,9 @@
         self.random = random.Random(seed)
         self.statement_random = random.Random("statements %d" % seed)
         self.peer_random = random.Random("peers %d" % seed)
+        self.restore_random = random.Random("restores %d" % seed)
+        # With an odd seed the nodes run without eras.
+        self.has_eras = seed % 2 == 0
         self.problems = []
         self.outcomes = {}
         self.lock = threading.Lock()
@@ -127,6 +133,11 @@
         for replica, address in zip(replicas, self.links.addresses):
             replica.public_address = address
             replica.register()
+        if self.has_eras:
+            self.platform.store.era = 1
+        # Guards the service in force and the version of the configuration.
+        self.config_lock = threading.Lock()
+        self.single_service = "desk"
         self.platform.configure(routes())
         self.nodes = [Node(i + 1, self.platform, folder,
                            self.links.addresses[len(replicas) + i])
@@ -285,9 +296,31 @@
 
     def change_config(self):
         service = self.random.choice(("desk", "desk2"))
-        self.platform.configure(routes(single_service=service))
+        self.configure(service)
         return lambda: None
 
+    def configure(self, service):
+        with self.config_lock:
+            self.single_service = service
+            self.platform.configure(routes(single_service=service))
+
+    def restore_store(self):
+        """At its end the store is as it is now, in a new era; then all that is
+        lost is written again."""
+        store = self.platform.store
+        copy = store.copy()
+
+        def restore():
+            store.restore(copy)
+            replicas = self.platform.all_replicas()
+            for name in list(store.objects["servers"]):
+                if name not in {replica.name for replica in replicas}:
+                    store.delete("servers", name)
+            for replica in replicas:
+                replica.register("draining" if replica.leaving else "ready")
+            self.configure(self.single_service)
+        return restore
+
     # Statements of replicas. Each returns a function that ends them.
 
     def limit_replicas(self):
@@ -389,10 +422,14 @@
                        self.send_strange_replies, self.age_stale_reads]
         # With generators of their own, these leave the faults of a seed as
         # they are.
-        threads = [threading.Thread(target=self.inject, args=arguments)
-                   for arguments in (
+        injections = [
             (self.statement_random, statements, seconds, MAX_STATEMENT_S),
-            (self.peer_random, peer_faults, seconds, MAX_FAULT_S))]
+            (self.peer_random, peer_faults, seconds, MAX_FAULT_S)]
+        if self.has_eras:
+            injections.append((self.restore_random, [self.restore_store],
+                               seconds, MAX_FAULT_S))
+        threads = [threading.Thread(target=self.inject, args=arguments)
+                   for arguments in injections]
         for thread in threads:
             thread.start()
         try:
