--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -156,6 +156,10 @@
     std::ranges::for_each(objects, [this](const StoreObject& object) {
       ApplyConfigObject(object);
     });
+    if (!m_has_proof) {
+      // After a start, the first proof need not wait for the next round.
+      OnMembershipChange();
+    }
   };
   hooks.on_changed = [this](const StoreObject& object) {
     m_config_times.Record(object.revision, Poller::Now());
--- a/tools/tanagervane-node/request_log.cc
+++ b/tools/tanagervane-node/request_log.cc
@@ -79,8 +79,8 @@
 
 void RequestLog::LogRequest(const RequestReport& report,
                             std::string_view outcome) {
-  LogEvent("request")
-      .Field("request", report.request->id)
+  LogEvent event("request");
+  event.Field("request", report.request->id)
       .Field("route", report.route)
       .Field("config_version", report.config_version)
       .Field("outcome", outcome)
@@ -92,6 +92,9 @@
       .Field("parts_done", report.answered_sub_requests)
       .Field("extra_sends", report.extra_attempts)
       .Field("replica_status", report.replica_status);
+  if (!report.request->tenant.empty()) {
+    event.Field("tenant", report.request->tenant);
+  }
   if (report.trace == nullptr) {
     return;
   }
