--- a/include/tanagervane/fleet/udp_gossip.h
+++ b/include/tanagervane/fleet/udp_gossip.h
@@ -16,6 +16,7 @@
 #include "tanagervane/fleet/replica_gossip.h"
 #include "tanagervane/fleet/revision_gossip.h"
 #include "tanagervane/net/poller.h"
+#include "tanagervane/quota/messages.h"
 #include "tanagervane/routing/quarantine.h"
 #include "tanagervane/state/peer_table.h"
 
@@ -42,6 +43,8 @@
   std::function<RevisionGossip(Millis now)> make_revision_gossip;
   /// A message about changes of the store was accepted.
   std::function<void(const RevisionGossip&)> on_revision_gossip;
+  /// A message about the limits of tenants was accepted.
+  std::function<void(const QuotaMessage&)> on_quota;
   /// Takes a datagram that is no gossip, and returns whether it did. Optional.
   std::function<bool(std::string_view bytes, const std::string& source)>
       on_other_datagram;
@@ -70,6 +73,8 @@
   /// state.
   void Announce(Millis now);
 
+  /// Sends a message to a VM. Does nothing if its address is unknown.
+  void Send(std::string_view vm, const QuotaMessage& message);
   /// Sends a datagram from the gossip address. It may be lost.
   void SendTo(const std::string& target, std::string_view bytes);
 
--- a/include/tanagervane/fleet/vm_registry.h
+++ b/include/tanagervane/fleet/vm_registry.h
@@ -65,6 +65,9 @@
   /// Reads the list again. Call it a few times a minute.
   void Refresh(Millis now);
 
+  /// Writes this VM's registration again, because the store may have lost it.
+  void RegisterAgain(Millis now);
+
   /// Removes this VM's registration and never registers it again.
   void Deregister();
 
@@ -72,6 +75,9 @@
   /// Empty before the first full read.
   std::optional<size_t> listed_count() const;
 
+  /// Ids of the listed VMs; empty before the first full read.
+  std::vector<std::string> ListedIds() const;
+
   /// The gossip address of a VM; empty when the VM is not listed.
   std::optional<std::string> AddressOf(std::string_view id) const;
 
@@ -102,6 +108,8 @@
   VmRegistryHooks m_hooks;
   bool m_deregistered = false;
   bool m_registering = false;
+  /// The write in flight must be followed by another one.
+  bool m_register_again = false;
   /// When this VM was last registered.
   Millis m_registered_at{0};
   /// VMs on the pages of the current read.
--- a/include/tanagervane/identity/config_proof.h
+++ b/include/tanagervane/identity/config_proof.h
@@ -56,8 +56,13 @@
   void SetConfig(const ConfigPosition& config);
   const ConfigPosition& config() const { return m_config; }
 
+  /// The store has entered an era. Proofs of an earlier one are void, because a
+  /// restored store may lack changes that it acknowledged.
+  void OnEra(uint64_t era);
+
   /// Sets the greatest version that is in force on a live peer, as gossip tells
-  /// it. A proof is void while this exceeds the VM's own version.
+  /// it. No proof is accepted while this exceeds the VM's own version: the
+  /// store may have lost the later one.
   void SetGossipedVersion(uint64_t version) { m_gossiped_version = version; }
   /// A peer has stated the version that it has in force. Counts for a few
   /// seconds, until gossip has told it.
@@ -79,7 +84,7 @@
   /// whether the peer has processed a change that this VM lacks.
   bool OnPeerProof(const PeerProof& proof, Millis asked_at, Millis now);
 
-  /// Age of the proof; nullopt without one or while it is void.
+  /// Age of the proof; nullopt without one.
   std::optional<Millis> Age(Millis now) const;
   /// Whether keys may be accepted.
   bool IsValid(Millis now) const;
@@ -92,7 +97,7 @@
   bool PeerHasProof(Millis now) const;
 
  private:
-  void Renew(Millis proved_at);
+  void Renew(Millis proved_at, Millis now);
   /// Age at which a VM calls the store.
   Millis CallAge(size_t rank) const;
   Millis RetryAfter(Millis now) const;
--- a/include/tanagervane/serving/exchange.h
+++ b/include/tanagervane/serving/exchange.h
@@ -67,8 +67,9 @@
   kRefused,   ///< The request did not run and will not run.
   kFailed,    ///< No usable response; the request may have run.
   kTimedOut,  ///< No response before the deadline; the request may have run.
-  kUnknownRoute,    ///< The configuration in force has no such route.
-  kUnauthenticated  ///< The request lacks a known key.
+  kUnknownRoute,     ///< The configuration in force has no such route.
+  kUnauthenticated,  ///< The request lacks a known key.
+  kOverLimit  ///< Beyond the tenant's rate limit; the request will not run.
 };
 
 std::string_view ToString(AnswerKind kind);
@@ -91,6 +92,8 @@
   kCallerGone,      ///< The caller cancelled or disconnected.
   kUnknownKey,      ///< The request has no key or an unknown one.
   kConfigUnproved,  ///< The configuration may be too old to decide on keys.
+  kTenantLimit,     ///< The tenant has used its allowance.
+  kNoPermit,        ///< No VM could grant a permit for the tenant's request.
 };
 
 std::string_view ToString(AnswerReason reason);
@@ -105,7 +108,7 @@
   std::vector<std::string> signatures;
   uint32_t missing_shards = 0;
   std::string records;
-  /// For kRefused: time after which a retry may succeed.
+  /// For kRefused and kOverLimit: time after which a retry may succeed.
   Millis retry_after;
 };
 
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -88,6 +88,13 @@
   Millis load_reported_at;
   /// The load in `load` less this VM's attempts in flight at that time.
   double other_load = 0;
+  /// Moving averages of `other_load` and of all requests on the replica.
+  double usual_other_load = 0;
+  double usual_load = 0;
+  /// Moving average, with the weights of `slowness`, of the reported work time
+  /// as a multiple of the usual one: the part of `slowness` that a later report
+  /// replaces.
+  double slowness_work_time = 1;
 
   /// The latest send time among answered attempts, and the time of the latest
   /// answer; -1 before the first answer.
@@ -227,6 +234,10 @@
   /// retired; for some time after its return, the full grace time applies.
   void SetStoreReachable(bool reachable, Millis now);
 
+  /// Called when the store was restored from an earlier copy: registrations
+  /// that it lost are written again, so the full grace time applies to them.
+  void OnStoreRestored(Millis now) { m_store_reachable_since = now; }
+
   /// Retires replicas whose registration lapsed and did not come back within
   /// the grace time, and forgets what replicas that were removed long ago have
   /// stated. Call it a few times a second.
--- a/lib/fleet/vm_registry.cc
+++ b/lib/fleet/vm_registry.cc
@@ -47,6 +47,14 @@
   ReadList(allow_stale ? Freshness::kStale : Freshness::kLatest, now);
 }
 
+void VmRegistry::RegisterAgain(Millis now) {
+  if (m_registering) {
+    m_register_again = true;
+    return;
+  }
+  Register(now);
+}
+
 void VmRegistry::Deregister() {
   m_deregistered = true;
   m_hooks.remove(m_id);
@@ -59,6 +67,14 @@
   return m_listed->size() + (IsListed() ? 0 : 1);
 }
 
+std::vector<std::string> VmRegistry::ListedIds() const {
+  std::vector<std::string> ids;
+  if (m_listed) {
+    std::ranges::transform(*m_listed, std::back_inserter(ids), &ListedVm::id);
+  }
+  return ids;
+}
+
 std::optional<std::string> VmRegistry::AddressOf(std::string_view id) const {
   if (!m_listed) {
     return std::nullopt;
@@ -112,6 +128,10 @@
     return;
   }
   m_registering = false;
+  if (std::exchange(m_register_again, false)) {
+    Register(now);
+    return;
+  }
   m_registered_at = now;
   ScheduleEarlyReads(now);
 }
--- a/lib/identity/config_proof.cc
+++ b/lib/identity/config_proof.cc
@@ -56,16 +56,23 @@
       (config.era == m_config.era && config.revision < m_config.revision)) {
     return;
   }
-  if (config.era != m_config.era) {
-    m_proved_at.reset();
-    m_peer_proved_at.reset();
-  }
+  OnEra(config.era);
   // A version never goes back on a VM, also when the store does.
   const uint64_t version = std::max(m_config.version, config.version);
   m_config = config;
   m_config.version = version;
 }
 
+void ConfigProof::OnEra(uint64_t era) {
+  if (era <= m_config.era) {
+    return;
+  }
+  m_config.era = era;
+  m_config.revision = 0;
+  m_proved_at.reset();
+  m_peer_proved_at.reset();
+}
+
 void ConfigProof::OnPeerVersion(uint64_t version, Millis now) {
   const bool expired = now - m_stated_at >= kStatedVersionLifetime;
   if (version >= m_stated_version || expired) {
@@ -116,7 +123,7 @@
   m_call_in_flight = false;
   m_backoff = kInitialBackoff;
   if (era == m_config.era) {
-    Renew(sent_at);
+    Renew(sent_at, sent_at);
   }
 }
 
@@ -140,19 +147,22 @@
     m_peer_proved_at =
         std::max(m_peer_proved_at.value_or(proved_at), proved_at);
     if (m_config.revision >= proof.config.revision) {
-      Renew(proved_at);
+      Renew(proved_at, now);
     }
   }
   return proof.config.revision > m_config.revision ||
          proof.config.version > m_config.version;
 }
 
-void ConfigProof::Renew(Millis proved_at) {
+void ConfigProof::Renew(Millis proved_at, Millis now) {
+  if (NewerVersionKnown(now)) {
+    return;
+  }
   m_proved_at = std::max(m_proved_at.value_or(proved_at), proved_at);
 }
 
 std::optional<Millis> ConfigProof::Age(Millis now) const {
-  if (!m_proved_at || NewerVersionKnown(now)) {
+  if (!m_proved_at) {
     return std::nullopt;
   }
   return now - *m_proved_at;
@@ -166,7 +176,8 @@
 ConfigCertainty ConfigProof::Certainty(Millis now) const {
   const auto age = Age(now);
   return {.accepts_known_keys = age && *age <= m_options.max_age,
-          .rejects_unknown_keys = age && *age <= m_options.max_age_to_reject,
+          .rejects_unknown_keys = age && *age <= m_options.max_age_to_reject &&
+                                  !NewerVersionKnown(now),
           .retry_after = RetryAfter(now)};
 }
 
--- a/lib/serving/exchange.cc
+++ b/lib/serving/exchange.cc
@@ -18,6 +18,8 @@
       return "timed_out";
     case AnswerKind::kUnauthenticated:
       return "unauthenticated";
+    case AnswerKind::kOverLimit:
+      return "over_limit";
     case AnswerKind::kUnknownRoute:
       break;
   }
@@ -56,6 +58,10 @@
       return "unknown_key";
     case AnswerReason::kConfigUnproved:
       return "config_unproved";
+    case AnswerReason::kTenantLimit:
+      return "tenant_limit";
+    case AnswerReason::kNoPermit:
+      return "no_permit";
     case AnswerReason::kCallerGone:
       break;
   }
--- a/lib/state/kind_watcher.cc
+++ b/lib/state/kind_watcher.cc
@@ -11,6 +11,11 @@
 /// time.
 constexpr double kBackoffJitter = 0.5;
 
+/// Time between the start of a watch and the read that checks whether the store
+/// answers. An answer shows that the store received the watch while it was
+/// responsive.
+constexpr Millis kWatchProbeDelay{100};
+
 }  // namespace
 
 std::string_view ToString(StoreResult result) {
@@ -38,7 +43,9 @@
 }
 
 Freshness KindWatcher::ListFreshness() const {
-  return m_options.stale_reads ? Freshness::kStale : Freshness::kLatest;
+  const bool stale =
+      m_options.stale_reads && (m_has_snapshot || !m_options.latest_first_list);
+  return stale ? Freshness::kStale : Freshness::kLatest;
 }
 
 Freshness KindWatcher::WatchFreshness() const {
@@ -76,11 +83,49 @@
   ListNextPage();
 }
 
+void KindWatcher::OnEra(uint64_t era) {
+  if (era <= m_era) {
+    return;
+  }
+  m_era = era;
+  m_watch_revision = 0;
+  m_last_change_revision = 0;
+  m_applied_revision = 0;
+  m_remote_revision = 0;
+  m_lagging_since.reset();
+  m_object_revisions.clear();
+  // Before the first page, the list in flight is of the new era.
+  if (m_has_snapshot || !m_listed_objects.empty()) {
+    Relist(Freshness::kLatest);
+  }
+}
+
+void KindWatcher::OnRemoteEra(uint64_t era) {
+  if (era <= m_era || era <= m_remote_era || !m_has_snapshot || !m_reachable ||
+      m_resyncing) {
+    return;
+  }
+  m_remote_era = era;
+  Relist(Freshness::kLatest);
+}
+
+bool KindWatcher::AcceptEra(uint64_t era) {
+  const uint64_t generation = m_generation;
+  OnEra(era);
+  if (era < m_era) {
+    RelistAfterBackoff(StoreResult::kUnavailable);
+  }
+  return generation == m_generation;
+}
+
 void KindWatcher::OnPage(StoreResult result, StorePage page) {
   if (result != StoreResult::kOk) {
     RelistAfterBackoff(result);
     return;
   }
+  if (!AcceptEra(page.era)) {
+    return;
+  }
   SetReachable(true, result);
   // Changes made while the pages are read arrive again as events, because the
   // watch starts from the oldest page.
@@ -137,6 +182,31 @@
       OnWatchEvents(result, events);
     }
   });
+  // A stale watch without an answer is detected by the gossip of the VMs that
+  // watch the latest state; only these spend calls on the check.
+  if (request.freshness == Freshness::kLatest) {
+    m_hooks.run_after(kWatchProbeDelay, [this, generation = m_generation,
+                                         watch = ++m_watch_count] {
+      if (generation == m_generation && watch == m_watch_count) {
+        ProbeAfterWatch();
+      }
+    });
+  }
+}
+
+void KindWatcher::ProbeAfterWatch() {
+  // A stale read costs the store least, and an unresponsive store answers none.
+  const WatchRequest request{.revision = m_watch_revision,
+                             .freshness = ListFreshness(),
+                             .wait = false};
+  m_hooks.watch(request,
+                [this, generation = m_generation, watch = m_watch_count](
+                    StoreResult result, const StoreEvents&) {
+                  if (generation == m_generation && watch == m_watch_count &&
+                      result == StoreResult::kUnavailable) {
+                    RelistAfterBackoff(result);
+                  }
+                });
 }
 
 void KindWatcher::ReadLatestChanges() {
@@ -161,6 +231,9 @@
     return;
   }
   if (result == StoreResult::kOk) {
+    if (!AcceptEra(events.era)) {
+      return;
+    }
     ApplyEvents(events);
   }
   if (result == StoreResult::kRevisionTooOld ||
@@ -179,7 +252,13 @@
     return;
   }
   if (result != StoreResult::kOk) {
-    RelistAfterBackoff(result);
+    // A waiting watch may be cut off at any time. The store counts as
+    // unreachable only if it does not answer the list that follows.
+    m_resyncing = true;
+    ScheduleRelist();
+    return;
+  }
+  if (!AcceptEra(events.era)) {
     return;
   }
   ApplyEvents(events);
@@ -258,6 +337,10 @@
 void KindWatcher::RelistAfterBackoff(StoreResult result) {
   m_resyncing = false;
   SetReachable(false, result);
+  ScheduleRelist();
+}
+
+void KindWatcher::ScheduleRelist() {
   const double jitter_factor = 1 - kBackoffJitter * m_random.NextDouble();
   const Millis delay = m_backoff * jitter_factor;
   m_backoff = std::min(m_backoff * 2, m_options.max_backoff);
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -21,6 +21,12 @@
 /// Time between reads of the list of VMs.
 constexpr Millis kVmListInterval{15'000};
 
+/// A process decides this long after its start whether it must watch the latest
+/// state of the store, because it does not know the other VMs earlier. When the
+/// whole system starts for the first time, the list of VMs is still incomplete.
+constexpr Millis kWatchRoleDelay{1500};
+constexpr Millis kWatchRoleDelayAtFirstStart{4000};
+
 /// A replica change that another VM has seen counts as missed when it does not
 /// arrive within this time after the time for which changes are batched.
 constexpr Millis kChangeDelayMargin{400};
@@ -176,14 +182,19 @@
       m_directory(m_peers, incarnation),
       m_gossip(m_poller, m_peers, m_quarantine, GossipHooks()),
       m_registry(m_settings.id, RegistryHooks()),
+      m_quota(MakeQuota(incarnation)),
       m_proof(MakeProofOptions(m_settings.revocation_bound,
                                m_settings.config_apply_bound)),
       m_proof_questions(std::random_device()()),
       m_proof_random(incarnation),
-      m_started_at(Poller::Now()) {
+      m_started_at(Poller::Now()),
+      m_watch_role(m_started_at,
+                   m_settings.first_start ? kWatchRoleDelayAtFirstStart
+                                          : kWatchRoleDelay) {
   m_settings.retries.full_slack_from = m_started_at + m_settings.retries.window;
   m_poller.SetAlarmHook([this] {
     m_dispatcher.OnTick(Poller::Now());
+    TickQuota();
     UpdateTimer();
   });
 }
@@ -204,11 +215,14 @@
     return status;
   }
   m_replicas.SetDrainTimeout(m_settings.drain_bound);
-  m_store = std::make_unique<StoreClient>(m_poller, m_loop, *store);
+  m_store = std::make_unique<StoreClient>(
+      m_poller, m_loop, *store,
+      [this](uint64_t era, bool first) { OnStoreEra(era, first); });
   const uint64_t seed = m_peers.self().incarnation;
   const bool stale = m_settings.stale_reads;
   m_config_watcher = std::make_unique<KindWatcher>(
-      KindWatcherOptions{.stale_reads = stale}, ConfigHooks(), seed);
+      KindWatcherOptions{.stale_reads = stale, .latest_first_list = true},
+      ConfigHooks(), seed);
   const Millis batch_delay = m_settings.drain_bound * kBatchDelayFraction;
   m_replica_watcher = std::make_unique<KindWatcher>(
       KindWatcherOptions{.lag_timeout = batch_delay + kChangeDelayMargin,
@@ -317,6 +331,7 @@
     }
   };
   hooks.config_certainty = [this](Millis) { return CertaintyOfConfig(); };
+  AddQuotaHooks(hooks);
   return hooks;
 }
 
@@ -435,7 +450,11 @@
 }
 
 void Node::UpdateTimer() {
-  if (const auto next = m_dispatcher.NextTimer()) {
+  std::optional<Millis> next = m_dispatcher.NextTimer();
+  if (const auto quota = NextQuotaTimer()) {
+    next = next ? std::min(*next, *quota) : quota;
+  }
+  if (next) {
     m_poller.SetAlarm(*next);
   }
 }
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -14,6 +14,7 @@
 #include "absl/status/status.h"
 #include "platform/store_client.h"
 #include "tanagervane/fleet/fleet_size.h"
+#include "tanagervane/fleet/latest_watchers.h"
 #include "tanagervane/fleet/proof_exchange.h"
 #include "tanagervane/fleet/replica_connections.h"
 #include "tanagervane/fleet/udp_gossip.h"
@@ -22,6 +23,7 @@
 #include "tanagervane/net/event_loop.h"
 #include "tanagervane/net/http_listener.h"
 #include "tanagervane/net/poller.h"
+#include "tanagervane/quota/fleet_quota.h"
 #include "tanagervane/routing/quarantine.h"
 #include "tanagervane/serving/dispatcher.h"
 #include "tanagervane/serving/replica_set.h"
@@ -89,13 +91,13 @@
   // Proof that the configuration is up to date (node_proof.cc).
   /// Whether keyed requests need a proof.
   bool NeedsProof() const;
-  /// The era of the store to which the configuration belongs.
-  uint64_t ConfigEra() const { return 0; }
   /// Renews the proof; called in each gossip round.
   void RunProofRound(std::span<const PeerTable::Peer> peers);
   void CallStoreForProof();
+  /// Handles the response to a call that was sent in this era of the store.
   void OnProofEvents(StoreResult result,
                      const StoreEvents& events,
+                     uint64_t era,
                      Millis sent_at);
   /// Reads the latest configuration, which another VM has in force.
   void ReadNewerConfig();
@@ -120,6 +122,11 @@
   void ApplyReplicaObject(const StoreObject& object);
   void ApplyReplicaList(const std::vector<StoreObject>& objects,
                         uint64_t removal_revision);
+  /// Called when the store states an era for the first time, and when it states
+  /// a higher one because it was restored.
+  void OnStoreEra(uint64_t era, bool first);
+  RevisionGossip MakeRevisionGossip(Millis now);
+  void OnRevisionGossip(const RevisionGossip& message);
   /// Applies what other VMs have seen of one kind of objects.
   static void ApplyReports(std::span<const RevisionReport> reports,
                            RevisionTimes& times,
@@ -135,6 +142,20 @@
   /// Copies the statistics of the components into the metrics.
   void UpdateMetrics();
 
+  // Limits of tenants.
+  std::unique_ptr<FleetQuota> MakeQuota(uint64_t incarnation);
+  void AddQuotaHooks(DispatcherHooks& hooks);
+  void OnQuotaMessage(const QuotaMessage& message);
+  void TickQuota();
+  std::optional<Millis> NextQuotaTimer() const;
+  void ReloadQuota(const NodeSettings& settings);
+  void ApplyTenants(const ServingConfig& config);
+  void OnVmListRequested();
+  void UpdateQuotaList();
+  void UpdateQuotaPeers(std::span<const PeerTable::Peer> peers);
+  void LogOwnedShare();
+  void UpdateQuotaMetrics(MetricsRegistry& metrics);
+
   // Timers.
   void EnforceTimeouts();
   void UpdateTimer();
@@ -157,6 +178,10 @@
   EntryDirectory m_directory;
   UdpGossip m_gossip;
   VmRegistry m_registry;
+  std::unique_ptr<FleetQuota> m_quota;
+  /// By the clock of m_quota.
+  Millis m_vm_list_requested_at;
+  double m_logged_share = 0;
   std::unique_ptr<StoreClient> m_store;
   std::unique_ptr<KindWatcher> m_config_watcher;
   std::unique_ptr<KindWatcher> m_replica_watcher;
@@ -194,6 +219,7 @@
   std::optional<Millis> m_newer_config_read_at;
   ProofStats m_proof_stats;
   Millis m_started_at;
+  LatestWatchRole m_watch_role;
   bool m_stopping = false;
   Millis m_stop_deadline;
 };
--- a/tools/tanagervane-node/node_proof.cc
+++ b/tools/tanagervane-node/node_proof.cc
@@ -71,15 +71,19 @@
       {.revision = m_proof_revision,
        .freshness = Freshness::kLatest,
        .wait = false},
-      [this, sent_at](StoreResult result, const StoreEvents& events) {
-        OnProofEvents(result, events, sent_at);
+      [this, era = m_store->era(), sent_at](StoreResult result,
+                                            const StoreEvents& events) {
+        OnProofEvents(result, events, era, sent_at);
       });
 }
 
 void Node::OnProofEvents(StoreResult result,
                          const StoreEvents& events,
+                         uint64_t era,
                          Millis sent_at) {
-  if (result != StoreResult::kOk) {
+  // The revision of the call means nothing in another era.
+  const bool is_current = result != StoreResult::kOk || events.era == era;
+  if (result != StoreResult::kOk || !is_current) {
     ++m_proof_stats.failed_calls;
     m_proof.OnCallFailed(BootNow());
     if (result == StoreResult::kRevisionTooOld) {
@@ -91,7 +95,7 @@
   const bool advanced = events.revision > m_proof_revision;
   m_proof_revision = std::max(m_proof_revision, events.revision);
   if (events.events.empty()) {
-    m_proof.OnCallSucceeded(ConfigEra(), sent_at);
+    m_proof.OnCallSucceeded(era, sent_at);
     UpdateProofState();
     return;
   }
--- a/unittests/state/kind_watcher_test.cc
+++ b/unittests/state/kind_watcher_test.cc
@@ -122,6 +122,9 @@
   m_watcher.Start();
   AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
   AnswerWatch(StoreResult::kUnavailable);
+  RunTasks();
+  EXPECT_TRUE(m_watches.empty());
+  AnswerList(StoreResult::kUnavailable);
   EXPECT_FALSE(m_watcher.reachable());
   RunTasks();
   EXPECT_TRUE(m_watches.empty());
@@ -131,6 +134,26 @@
   EXPECT_EQ(m_reachable_calls, (std::vector<bool>{false, true}));
 }
 
+// Guards against a single watch that was cut off and counts as an outage of the
+// store: registrations that vanish soon after it then have their grace time
+// counted from too late a time (review/8).
+TEST_F(KindWatcherTest, InterruptedWatchIsNoOutage) {
+  m_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  AnswerWatch(StoreResult::kUnavailable);
+  EXPECT_TRUE(m_watcher.reachable());
+  // No other read begins before the list.
+  m_watcher.ReadNow();
+  m_watcher.OnRemoteRevision(20, Millis(0), Millis(5000));
+  EXPECT_TRUE(m_watches.empty());
+  EXPECT_TRUE(m_lists.empty());
+  RunTasks();
+  ASSERT_EQ(m_lists.size(), 1u);
+  AnswerList(StoreResult::kOk, Page({{"b", 20, {}}}, 20));
+  EXPECT_EQ(m_objects, (std::map<std::string, uint64_t>{{"b", 20}}));
+  EXPECT_TRUE(m_reachable_calls.empty());
+}
+
 TEST_F(KindWatcherTest, RelistsWhenHistoryIsGone) {
   m_watcher.Start();
   AnswerList(StoreResult::kOk, Page({}, 10));
@@ -195,6 +218,110 @@
   EXPECT_TRUE(m_lists.empty());
 }
 
+// Guards against a watch that the store received while it was unresponsive, and
+// therefore never answers, and that is noticed only when its wait is over.
+TEST_F(KindWatcherTest, UnansweredWatchIsNoticedByAShortRead) {
+  m_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  ASSERT_TRUE(m_watch_request.wait);
+  RunTasks();
+  ASSERT_EQ(m_watches.size(), 2u);
+  EXPECT_FALSE(m_watch_request.wait);
+  EXPECT_EQ(m_watch_request.revision, 10u);
+  // The first watch hangs and the short read times out.
+  m_watches.erase(m_watches.begin());
+  AnswerWatch(StoreResult::kUnavailable);
+  EXPECT_FALSE(m_watcher.reachable());
+  RunTasks();
+  ASSERT_EQ(m_lists.size(), 1u);
+  AnswerList(StoreResult::kOk, Page({{"a", 12, {}}}, 12));
+  EXPECT_EQ(m_objects.at("a"), 12u);
+  EXPECT_TRUE(m_watcher.reachable());
+}
+
+// Guards against a check that disturbs a watch in progress, or that concerns a
+// watch that has ended.
+TEST_F(KindWatcherTest, AnsweredShortReadLeavesTheWatchInPlace) {
+  m_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  RunTasks();
+  ASSERT_EQ(m_watches.size(), 2u);
+  std::swap(m_watches[0], m_watches[1]);
+  AnswerWatch(StoreResult::kOk, {{{{"b", 11, {}}, false}}, 11});
+  EXPECT_EQ(m_watches.size(), 1u);
+  EXPECT_TRUE(m_reachable_calls.empty());
+  AnswerWatch(StoreResult::kOk, {{{{"b", 11, {}}, false}}, 11});
+  EXPECT_TRUE(m_objects.contains("b"));
+  ASSERT_EQ(m_watches.size(), 1u);
+  // The next watch ends before its check.
+  AnswerWatch(StoreResult::kOk, {{}, 11});
+  ASSERT_EQ(m_tasks.size(), 2u);
+  RunTasks();
+  EXPECT_EQ(m_watches.size(), 2u) << "only the watch in progress is checked";
+}
+
+// Guards against revisions that are compared across eras: after a restore the
+// store assigns lower revisions again, and its changes would be ignored.
+TEST_F(KindWatcherTest, NewEraStartsAfresh) {
+  m_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 80, {}}, {"b", 90, {}}}, 100));
+  m_watcher.OnRemoteRevision(120, Millis(0));
+  m_watcher.OnEra(1);
+  ASSERT_EQ(m_lists.size(), 1u);
+  AnswerWatch(StoreResult::kOk, {{{{"late", 101, {}}, false}}, 101});
+  EXPECT_FALSE(m_objects.contains("late")) << "read in the earlier era";
+  StorePage page = Page({{"a", 70, {}}}, 75);
+  page.era = 1;
+  AnswerList(StoreResult::kOk, page);
+  EXPECT_EQ(m_objects, (std::map<std::string, uint64_t>{{"a", 70}}));
+  EXPECT_EQ(m_watch_request.revision, 75u);
+  EXPECT_EQ(m_watcher.last_change_revision(), 70u);
+  StoreEvents events = {{{{"a", 76, {}}, false}}, 76};
+  events.era = 1;
+  AnswerWatch(StoreResult::kOk, events);
+  EXPECT_EQ(m_objects.at("a"), 76u);
+  // A report of the earlier era causes no read.
+  m_watcher.OnRemoteRevision(76, Millis(10'000));
+  EXPECT_TRUE(m_lists.empty());
+}
+
+// Guards against a list that contains pages of two eras, and against responses
+// of an earlier era that are applied.
+TEST_F(KindWatcherTest, ResponsesOfOtherErasAreNotApplied) {
+  m_watcher.Start();
+  StorePage page = Page({{"a", 80, {}}}, 100, true);
+  page.era = 2;
+  AnswerList(StoreResult::kOk, page);
+  EXPECT_EQ(m_lists.size(), 1u) << "the first response tells the era";
+  page = Page({{"b", 60, {}}}, 70);
+  page.era = 3;
+  AnswerList(StoreResult::kOk, page);
+  EXPECT_FALSE(m_watcher.has_snapshot());
+  ASSERT_EQ(m_lists.size(), 1u);
+  EXPECT_EQ(m_lists[0].first, "") << "listed again from the start";
+  AnswerList(StoreResult::kOk, page);
+  EXPECT_EQ(m_objects, (std::map<std::string, uint64_t>{{"b", 60}}));
+  StoreEvents events = {{{{"c", 101, {}}, false}}, 101};
+  events.era = 2;
+  AnswerWatch(StoreResult::kOk, events);
+  EXPECT_FALSE(m_objects.contains("c"));
+  EXPECT_FALSE(m_watcher.reachable());
+}
+
+// Guards against a VM that goes by an earlier era until its watch ends, and
+// against a false report that causes lists again and again.
+TEST_F(KindWatcherTest, RemoteEraCausesOneList) {
+  m_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 80, {}}}, 100));
+  m_watcher.OnRemoteEra(0);
+  EXPECT_TRUE(m_lists.empty());
+  m_watcher.OnRemoteEra(1);
+  ASSERT_EQ(m_lists.size(), 1u);
+  AnswerList(StoreResult::kOk, Page({{"a", 80, {}}}, 100));
+  m_watcher.OnRemoteEra(1);
+  EXPECT_TRUE(m_lists.empty());
+}
+
 class StaleReadsTest : public KindWatcherTest {
  protected:
   KindWatcher m_stale_watcher{{.stale_reads = true}, Hooks(), 1};
@@ -222,6 +349,47 @@
   EXPECT_EQ(m_watch_request.revision, 12u);
 }
 
+// Guards against a restarted process that goes by a configuration of some
+// seconds ago (review/7), and against later lists that are expensive.
+TEST_F(StaleReadsTest, FirstListMayBeOfTheLatestState) {
+  KindWatcher watcher({.stale_reads = true, .latest_first_list = true}, Hooks(),
+                      1);
+  watcher.Start();
+  EXPECT_EQ(m_list_freshness, Freshness::kLatest);
+  AnswerList(StoreResult::kUnavailable);
+  RunTasks();
+  EXPECT_EQ(m_list_freshness, Freshness::kLatest);
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  EXPECT_EQ(m_watch_request.freshness, Freshness::kStale);
+  AnswerWatch(StoreResult::kUnavailable);
+  RunTasks();
+  EXPECT_EQ(m_list_freshness, Freshness::kStale);
+}
+
+// Guards against a stale list of the state before the restore.
+TEST_F(StaleReadsTest, NewEraListsLatestState) {
+  m_stale_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  StoreEvents events = {{}, 8};
+  events.era = 1;
+  AnswerWatch(StoreResult::kOk, events);
+  ASSERT_EQ(m_lists.size(), 1u);
+  EXPECT_EQ(m_list_freshness, Freshness::kLatest);
+}
+
+// Guards against expensive checks of watches: the check may be stale, and only
+// the VMs that watch the latest state make it.
+TEST_F(StaleReadsTest, ChecksOfWatchesAreCheap) {
+  m_stale_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  EXPECT_TRUE(m_tasks.empty());
+  m_stale_watcher.SetWatchesLatest(true);
+  RunTasks();
+  ASSERT_EQ(m_watches.size(), 3u);
+  EXPECT_FALSE(m_watch_request.wait);
+  EXPECT_EQ(m_watch_request.freshness, Freshness::kStale);
+}
+
 // Fails if a change that a stale watch lacks is not read in time, or is read
 // with a complete list.
 TEST_F(StaleReadsTest, LaggingWatchReadsLatestChanges) {
