--- a/include/tanagervane/quota/fleet_quota.h
+++ b/include/tanagervane/quota/fleet_quota.h
@@ -108,6 +108,12 @@
     uint64_t nonce = 0;
     Millis granted_at;
   };
+  struct Refusal {
+    /// Until then requests are refused without a question.
+    Millis known_until;
+    /// When the pool VM has a token again.
+    Millis token_at;
+  };
   struct Round {
     uint64_t nonce = 0;
     Millis sent_at;
@@ -144,6 +150,7 @@
   PermitDecision Refuse(std::string_view tenant,
                         Millis retry_after,
                         Millis now);
+  PermitDecision Refused(Millis retry_after);
   PermitDecision Unavailable();
   void Finish(const PermitQuestion& question, const PermitDecision& decision);
   template <typename Body>
@@ -172,8 +179,8 @@
   Millis m_census_updated_at;
   /// Where the next round begins among the VMs of other groups.
   size_t m_next_outside = 0;
-  /// By tenant: until when the pool VM has no token.
-  std::map<std::string, Millis, std::less<>> m_refused_until;
+  /// The latest refusal of each tenant.
+  std::map<std::string, Refusal, std::less<>> m_refusals;
   /// By VM: until when it is not asked because it did not answer.
   std::map<std::string, Millis, std::less<>> m_silent_until;
   LastPermit m_last_permit;
--- a/lib/quota/fleet_quota.cc
+++ b/lib/quota/fleet_quota.cc
@@ -17,6 +17,10 @@
 /// within a few of these.
 constexpr Millis kUnavailableRetryAfter{100};
 
+/// The shortest time that a refusal states. Callers that come back at once only
+/// cost time.
+constexpr Millis kMinRetryAfter{20};
+
 /// A refusal by the pool VM is repeated without a question for at most this
 /// long, because the pool VM may get more shares.
 constexpr Millis kMaxRefusalCacheTime{100};
@@ -53,7 +57,7 @@
   m_tenants.assign(tenants.begin(), tenants.end());
   m_pool.SetTenants(m_tenants, m_bounds, now);
   SettleAll(now);
-  m_refused_until.clear();
+  m_refusals.clear();
 }
 
 double FleetQuota::UsableShare(std::string_view tenant, Millis now) const {
@@ -68,9 +72,9 @@
   if (pool_vm == m_self) {
     return TakeLocally(request, tenant, now);
   }
-  if (const auto it = m_refused_until.find(tenant);
-      it != m_refused_until.end() && now < it->second) {
-    return Refuse(tenant, it->second - now, now);
+  if (const auto it = m_refusals.find(tenant);
+      it != m_refusals.end() && now < it->second.known_until) {
+    return Refused(it->second.token_at - now);
   }
   if (const auto it = m_silent_until.find(pool_vm);
       it != m_silent_until.end() && now < it->second) {
@@ -117,10 +121,16 @@
 PermitDecision FleetQuota::Refuse(std::string_view tenant,
                                   Millis retry_after,
                                   Millis now) {
+  m_refusals.insert_or_assign(
+      std::string(tenant),
+      Refusal{now + std::min(retry_after, kMaxRefusalCacheTime),
+              now + retry_after});
+  return Refused(retry_after);
+}
+
+PermitDecision FleetQuota::Refused(Millis retry_after) {
   ++m_stats.refused;
-  m_refused_until.insert_or_assign(
-      std::string(tenant), now + std::min(retry_after, kMaxRefusalCacheTime));
-  return {PermitState::kRefused, retry_after};
+  return {PermitState::kRefused, std::max(retry_after, kMinRetryAfter)};
 }
 
 PermitDecision FleetQuota::Unavailable() {
