--- a/unittests/quota/fleet_quota_test.cc
+++ b/unittests/quota/fleet_quota_test.cc
@@ -2,11 +2,17 @@
 
 #include "tanagervane/quota/fleet_quota.h"
 
+#include <algorithm>
 #include <cmath>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
 
 #include "gtest/gtest.h"
 #include "quota_fleet.h"
 #include "rapidcheck/gtest.h"
+#include "tanagervane/quota/rendezvous.h"
 
 namespace tanagervane {
 namespace {
@@ -370,6 +376,57 @@
             WindowBound(low, QuotaBounds()));
 }
 
+// Guards against a lease that the pool VM counts from the answer: the owner may
+// use its share again before.
+TEST(FleetQuotaTest, LeaseEndsATermAfterTheQuestion) {
+  std::optional<ShareRequest> question;
+  FleetQuotaHooks hooks;
+  hooks.send = [&](std::string_view, const QuotaMessage& message) {
+    if (const auto* request = std::get_if<ShareRequest>(&message.body)) {
+      question = *request;
+    }
+  };
+  FleetQuota quota("vm-1", 1, QuotaBounds(), hooks, Millis(0));
+  // One of the slots is pooled by this VM.
+  std::vector<TenantSpec> tenants;
+  for (int i = 0; i < 20; ++i) {
+    tenants.push_back(MakeTenant("t" + std::to_string(i), 10, 10));
+  }
+  quota.SetTenants(tenants, Millis(0));
+  quota.SetLive({"vm-2"}, false, Millis(0));
+  quota.OnTick(Millis(1000));
+  ASSERT_TRUE(question && question->slots != 0);
+  const auto pooled = std::ranges::find_if(tenants, [&](const auto& tenant) {
+    return (question->slots >> SlotOf(tenant.name) & 1) != 0;
+  });
+  quota.OnMessage({"vm-2", ShareGrant{question->nonce, question->slots, 2, {}}},
+                  Millis(2000));
+  EXPECT_EQ(quota.UsableShare(pooled->name, Millis(2499)), 0.5);
+  EXPECT_EQ(quota.UsableShare(pooled->name, Millis(2500)), 0);
+  // An answer after the term starts no lease.
+  quota.OnMessage({"vm-2", ShareGrant{question->nonce, question->slots, 2, {}}},
+                  Millis(2500));
+  EXPECT_EQ(quota.UsableShare(pooled->name, Millis(2500)), 0);
+}
+
+// Guards against tokens that a VM gets for the time in which its share was
+// lent.
+TEST(FleetQuotaTest, ShareReturnsWithoutTokens) {
+  const TenantSpec tenant = MakeTenant("t", 1, 100);
+  QuotaFleet fleet({tenant}, 3);
+  fleet.Join();
+  fleet.Join();
+  fleet.Run(Millis(200'000));
+  const size_t owner = fleet.quota(0).UsableShare("t", fleet.now()) > 0 ? 1 : 0;
+  fleet.SetPart(owner, 1);
+  fleet.Run(Millis(4000));
+  EXPECT_EQ(fleet.quota(owner).UsableShare("t", fleet.now()), 0.5);
+  for (int i = 0; i < 100; ++i) {
+    fleet.Send(owner, "t");
+  }
+  EXPECT_LE(fleet.admitted("t").size(), 4);
+}
+
 // Guards against work and messages of deployments without limits.
 TEST(FleetQuotaTest, NothingIsSentWithoutLimits) {
   int sent = 0;
