Refuse requests under overload by priority, tenant share and gain

A less urgent route with a loose objective was admitted to a queue that a more urgent route with a tight one did not accept, and one tenant could take the capacity of all. The longest accepted wait for a slot now falls with lower urgency, beyond the max-min share of a tenant and when the objective cannot be met. A request that cannot start before its deadline is refused, and Retry-After is spread.

--- a/include/tanagervane/serving/dispatcher.h
+++ b/include/tanagervane/serving/dispatcher.h
@@ -18,6 +18,7 @@
 #include "tanagervane/serving/attempt_grace.h"
 #include "tanagervane/serving/exchange.h"
 #include "tanagervane/serving/plan.h"
+#include "tanagervane/serving/precedence.h"
 #include "tanagervane/serving/replica_chooser.h"
 #include "tanagervane/serving/replica_set.h"
 #include "tanagervane/support/millis.h"
@@ -128,6 +129,7 @@
   void CheckReplicaHealth(Millis now);
 
   size_t running_requests() const { return m_requests.size(); }
+  const Precedence& precedence() const { return m_precedence; }
   const ReplicaChooser& chooser() const { return m_chooser; }
   const DispatcherStats& stats() const { return m_stats; }
 
@@ -208,7 +210,13 @@
   /// Adds a sub-request for each shard, or one for the service that is next in
   /// the route's traffic split, and credits the retry budgets.
   static void AddSubRequests(Request& request, Millis now);
-  Admission Admit(const Request& request, Millis now) const;
+  Admission Admit(const Request& request,
+                  const CallerRequest& caller_request,
+                  Millis now);
+  /// Returns the longest wait for a slot with which the request is admitted.
+  Millis MaxWait(const Request& request,
+                 const CallerRequest& caller_request,
+                 Millis now);
   /// Leaves out a sub-request that could be sent.
   void Skip(Request& request,
             size_t index,
@@ -309,6 +317,7 @@
   Quarantine& m_quarantine;
   DispatcherHooks m_hooks;
   ReplicaChooser m_chooser;
+  Precedence m_precedence;
   DispatcherStats m_stats;
   RouteStatsByName m_route_stats;
   std::shared_ptr<ServingPlan> m_plan;
--- a/include/tanagervane/serving/exchange.h
+++ b/include/tanagervane/serving/exchange.h
@@ -34,6 +34,8 @@
   std::string forwarded_fields;
   /// Time for which the caller waits for the answer, if it sent one.
   std::optional<Millis> time_left;
+  /// Name of the tenant; empty if the request has none.
+  std::string tenant;
 };
 
 /// Classification of a replica's response.
--- a/include/tanagervane/serving/replica_chooser.h
+++ b/include/tanagervane/serving/replica_chooser.h
@@ -47,6 +47,9 @@
   /// Spreads the choices of VMs that know little about the present load, and
   /// includes the reported work time in estimates; see even_load.h.
   bool even_load = true;
+  /// Refuses requests under overload in the order of their priority, of the
+  /// share of their tenant and of what callers gain; see precedence.h.
+  bool precedence = true;
 };
 
 /// Whether an attempt can be sent to a replica.
--- a/lib/serving/dispatcher.cc
+++ b/lib/serving/dispatcher.cc
@@ -44,7 +44,8 @@
       m_replicas(replicas),
       m_quarantine(quarantine),
       m_hooks(std::move(hooks)),
-      m_chooser(m_options.policy, m_options.data_centre, m_options.seed) {}
+      m_chooser(m_options.policy, m_options.data_centre, m_options.seed),
+      m_precedence(m_options.seed) {}
 
 Dispatcher::~Dispatcher() = default;
 
@@ -53,6 +54,7 @@
     return false;
   }
   m_plan = std::make_shared<ServingPlan>(config, m_replicas, m_route_stats);
+  m_precedence.ApplyConfig(config);
   return true;
 }
 
--- a/lib/serving/dispatcher_admission.cc
+++ b/lib/serving/dispatcher_admission.cc
@@ -29,6 +29,12 @@
 constexpr Millis kShortRetryAfter{60};
 constexpr Millis kQuarantineRetryAfter{60'000};
 
+/// Returns the longest wait for a slot at which a request is admitted.
+Millis MaxWaitOf(uint32_t priority, Millis objective) {
+  return objective * (priority <= kMaxUrgentPriority ? kUrgentMaxWaitFraction
+                                                     : kNormalMaxWaitFraction);
+}
+
 }  // namespace
 
 Millis Dispatcher::RemainingObjective(const PlannedRoute& route,
@@ -84,7 +90,7 @@
     return;
   }
   AddSubRequests(*request, now);
-  const Admission admission = Admit(*request, now);
+  const Admission admission = Admit(*request, *caller_request, now);
   if (admission.refusal) {
     Refuse(key, *caller_request, AnswerKind::kRefused, *admission.refusal,
            admission.retry_after, route);
@@ -161,7 +167,25 @@
   request.sub_requests[index].skipped = m_options.policy.reopen_skipped;
 }
 
-Admission Dispatcher::Admit(const Request& request, Millis now) const {
+Millis Dispatcher::MaxWait(const Request& request,
+                           const CallerRequest& caller_request,
+                           Millis now) {
+  const RouteSpec& spec = request.route->spec;
+  if (!m_options.policy.precedence) {
+    return MaxWaitOf(spec.priority, spec.objective);
+  }
+  const Millis median = request.route->stats->attempt_latency.median();
+  return m_precedence.MaxWait({.route = spec,
+                               .tenant = caller_request.tenant,
+                               .max_wait = MaxWaitOf,
+                               .late = request.answer_by <= now,
+                               .latest_start = request.deadline - median - now},
+                              now);
+}
+
+Admission Dispatcher::Admit(const Request& request,
+                            const CallerRequest& caller_request,
+                            Millis now) {
   const RouteSpec& spec = request.route->spec;
   const AttemptProfile profile = MakeProfile(*request.route);
   std::vector<SubRequestEstimate> estimates;
@@ -170,17 +194,25 @@
     estimates.push_back(
         m_chooser.EstimateSubRequest(*sub_request.service, profile, now));
   }
-  const double wait_fraction = spec.priority <= kMaxUrgentPriority
-                                   ? kUrgentMaxWaitFraction
-                                   : kNormalMaxWaitFraction;
   AdmissionLimits limits;
   limits.needed_sub_requests = request.route->needed_sub_requests;
-  limits.max_wait = m_options.policy.admission ? spec.objective * wait_fraction
-                                               : spec.timeout;
+  limits.max_wait = m_options.policy.admission
+                        ? MaxWait(request, caller_request, now)
+                        : spec.timeout;
   limits.time_to_answer =
       m_options.policy.skipping ? request.answer_by - now : Millis(0);
   limits.spare_permits = m_options.policy.spare_permits;
-  return tanagervane::Admit(estimates, limits);
+  Admission admission = tanagervane::Admit(estimates, limits);
+  if (!m_options.policy.precedence) {
+    return admission;
+  }
+  if (!admission.refusal) {
+    m_precedence.RecordAdmitted(spec, now);
+  } else if (*admission.refusal == AnswerReason::kOverloaded) {
+    admission.retry_after = m_precedence.SpreadRetryAfter(
+        admission.retry_after, request.deadline - now);
+  }
+  return admission;
 }
 
 void Dispatcher::Refuse(RequestKey key,
--- a/tools/tanagervane-node/node_metrics.cc
+++ b/tools/tanagervane-node/node_metrics.cc
@@ -59,6 +59,9 @@
   set_counter("tanagervane_rate_limited_extra_sends_total",
               "Hedges and retries to replicas that state a rate limit.",
               dispatcher.rate_limited_extra_attempts);
+  set_counter("tanagervane_over_share_requests_total",
+              "Requests beyond the fair share of their tenant.",
+              m_dispatcher.precedence().over_share_requests());
   set_counter("tanagervane_replica_connections_total",
               "Connections opened to replicas.", m_connections.stats().opened);
   set_counter("tanagervane_store_calls_total", "Calls to the platform's store.",
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -114,6 +114,7 @@
   settings.policy.cancel_failed = policy.BooleanOr("cancel_failed", true);
   settings.policy.local_first = policy.BooleanOr("local_first", true);
   settings.policy.even_load = policy.BooleanOr("even_load", true);
+  settings.policy.precedence = policy.BooleanOr("precedence", true);
   settings.stale_reads = policy.BooleanOr("stale_reads", true);
   settings.address_lifetime = Millis(policy.NumberOr(
       "address_lifetime_ms", settings.address_lifetime.count(), 1));
--- a/unittests/serving/overload_simulation.h
+++ b/unittests/serving/overload_simulation.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "fmt/format.h"
 #include "tanagervane/serving/dispatcher.h"
@@ -52,7 +53,11 @@
 /// queue.
 class OverloadSimulation {
  public:
-  explicit OverloadSimulation(ServingPolicy policy)
+  using EditConfig = std::function<void(ServingConfig&)>;
+
+  explicit OverloadSimulation(
+      ServingPolicy policy,
+      const EditConfig& edit_config = [](ServingConfig&) {})
       : m_replicas({.on_retired = [](ServingReplica&, std::string_view) {},
                     .on_added = [](ServingReplica&) {},
                     .on_rate_limit_changed = [](const ServingReplica&,
@@ -88,6 +93,7 @@
     light.priority = 2;
     light.min_shard_fraction = 0.75;
     config.routes = {route, light};
+    edit_config(config);
     m_dispatcher.ApplyConfig(config);
   }
 
@@ -128,7 +134,7 @@
     for (; m_now < end; RunUntil(m_now + NextInterval(interval))) {
       const bool light = m_random.NextDouble() < light_fraction;
       SubmittedRequest& submitted = m_submitted[++m_last_key];
-      submitted = {m_now, light, m_now >= counted_from};
+      submitted = {m_now, light, m_now >= counted_from, {}};
       CallerResults& results = light ? m_light_results : m_results;
       results.counted += submitted.counted ? 1 : 0;
       auto request = std::make_shared<CallerRequest>();
@@ -137,6 +143,11 @@
       request->host = "h";
       request->target = light ? kLightTarget : "/x";
       request->time_left = kCallerTimeout;
+      if (m_pick_tenant) {
+        request->tenant = m_pick_tenant(m_random);
+        submitted.tenant = request->tenant;
+        m_tenant_results[request->tenant].counted += submitted.counted ? 1 : 0;
+      }
       m_dispatcher.Submit(m_last_key, request, m_now);
     }
     RunUntil(m_now + kCallerTimeout);
@@ -146,6 +157,18 @@
   /// equal.
   void UseRandomArrivals() { m_random_arrivals = true; }
 
+  /// Sets how the tenant of each request is drawn.
+  void SetTenants(std::function<std::string(Random&)> pick_tenant) {
+    m_pick_tenant = std::move(pick_tenant);
+  }
+
+  const std::map<std::string, CallerResults>& tenant_results() const {
+    return m_tenant_results;
+  }
+
+  /// The Retry-After of all refusals.
+  const std::vector<Millis>& retry_afters() const { return m_retry_afters; }
+
   const CallerResults& results() const { return m_results; }
   const CallerResults& light_results() const { return m_light_results; }
 
@@ -154,6 +177,7 @@
     Millis at;
     bool light = false;
     bool counted = false;
+    std::string tenant;
   };
 
   struct SentAttempt {
@@ -285,6 +309,9 @@
     if (!submitted.counted) {
       return;
     }
+    if (answer.kind == AnswerKind::kRefused) {
+      m_retry_afters.push_back(answer.retry_after);
+    }
     CallerResults& results = submitted.light ? m_light_results : m_results;
     results.refused += answer.kind == AnswerKind::kRefused ? 1 : 0;
     const Millis objective = submitted.light ? kLightObjective : kObjective;
@@ -293,6 +320,9 @@
       const double answered_fraction =
           1 - static_cast<double>(answer.missing_shards) / kShards;
       ++results.on_time;
+      if (m_pick_tenant) {
+        ++m_tenant_results[submitted.tenant].on_time;
+      }
       results.score += answered_fraction * answered_fraction;
     }
   }
@@ -307,6 +337,9 @@
   RequestKey m_last_key = 0;
   CallerResults m_results;
   CallerResults m_light_results;
+  std::function<std::string(Random&)> m_pick_tenant;
+  std::map<std::string, CallerResults> m_tenant_results;
+  std::vector<Millis> m_retry_afters;
   Quarantine m_quarantine{true, 3};
   ReplicaSet m_replicas;
   Dispatcher m_dispatcher;
