--- a/lib/serving/dispatcher_admission.cc
+++ b/lib/serving/dispatcher_admission.cc
@@ -29,6 +29,12 @@
 constexpr Millis kShortRetryAfter{60};
 constexpr Millis kQuarantineRetryAfter{60'000};
 
+/// Returns the longest wait for a slot at which a request is admitted.
+Millis MaxWaitOf(uint32_t priority, Millis objective) {
+  return objective * (priority <= kMaxUrgentPriority ? kUrgentMaxWaitFraction
+                                                     : kNormalMaxWaitFraction);
+}
+
 }  // namespace
 
 FinalAnswer Dispatcher::MakeNoConfigRefusal() {
@@ -105,7 +111,7 @@
     return;
   }
   AddSubRequests(*request, now);
-  const Admission admission = Admit(*request, now);
+  const Admission admission = Admit(*request, *caller_request, now);
   if (admission.refusal) {
     Refuse(key, *caller_request, AnswerKind::kRefused, *admission.refusal,
            admission.retry_after, route);
@@ -120,6 +126,7 @@
 void Dispatcher::Start(std::unique_ptr<Request> request,
                        const Admission& admission,
                        Millis now) {
+  m_precedence.RecordAdmitted(request->route->spec, now);
   for (const size_t index : admission.skipped) {
     Skip(*request, index, TraceEvent::Type::kSkipped,
          AnswerReason::kOverloaded);
@@ -190,8 +197,30 @@
   request.sub_requests[index].skipped = m_options.policy.reopen_skipped;
 }
 
-Admission Dispatcher::Admit(const Request& request, Millis now) const {
+Millis Dispatcher::MaxWait(const Request& request,
+                           const CallerRequest& caller_request,
+                           Millis now) {
   const RouteSpec& spec = request.route->spec;
+  if (!m_options.policy.precedence) {
+    return MaxWaitOf(spec.priority, spec.objective);
+  }
+  const Millis median = request.route->stats->attempt_latency.median();
+  return m_precedence.MaxWait({.route = spec,
+                               .tenant = caller_request.tenant,
+                               .max_wait = MaxWaitOf,
+                               .late = request.answer_by <= now,
+                               .latest_start = request.deadline - median - now},
+                              now);
+}
+
+Admission Dispatcher::Admit(Request& request,
+                            const CallerRequest& caller_request,
+                            Millis now) {
+  if (!request.max_wait) {
+    request.max_wait = m_options.policy.admission
+                           ? MaxWait(request, caller_request, now)
+                           : request.route->spec.timeout;
+  }
   const AttemptProfile profile = MakeProfile(*request.route);
   std::vector<SubRequestEstimate> estimates;
   estimates.reserve(request.sub_requests.size());
@@ -199,21 +228,19 @@
     estimates.push_back(
         m_chooser.EstimateSubRequest(*sub_request.service, profile, now));
   }
-  const uint32_t priority =
-      request.tenant != nullptr
-          ? request.tenant->priority.value_or(spec.priority)
-          : spec.priority;
-  const double wait_fraction = priority <= kMaxUrgentPriority
-                                   ? kUrgentMaxWaitFraction
-                                   : kNormalMaxWaitFraction;
   AdmissionLimits limits;
   limits.needed_sub_requests = request.route->needed_sub_requests;
-  limits.max_wait = m_options.policy.admission ? spec.objective * wait_fraction
-                                               : spec.timeout;
+  limits.max_wait = *request.max_wait;
   limits.time_to_answer =
       m_options.policy.skipping ? request.answer_by - now : Millis(0);
   limits.spare_permits = m_options.policy.spare_permits;
-  return tanagervane::Admit(estimates, limits);
+  Admission admission = tanagervane::Admit(estimates, limits);
+  if (m_options.policy.precedence &&
+      admission.refusal == AnswerReason::kOverloaded) {
+    admission.retry_after = m_precedence.SpreadRetryAfter(
+        admission.retry_after, request.deadline - now);
+  }
+  return admission;
 }
 
 void Dispatcher::Refuse(RequestKey key,
--- a/lib/serving/dispatcher_quota.cc
+++ b/lib/serving/dispatcher_quota.cc
@@ -47,7 +47,7 @@
     RefuseWithoutPermit(*request, decision);
     return;
   }
-  Admission admission = Admit(*request, now);
+  Admission admission = Admit(*request, *request->caller_request, now);
   if (now >= request->deadline) {
     admission.refusal = AnswerReason::kExpired;
     admission.retry_after = kLatePermitRetryAfter;
