--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -133,6 +133,8 @@
   /// seen in the fleet.
   RevisionTimes m_config_times;
   RevisionTimes m_replica_times;
+  /// Gossip rounds without recent changes of the store.
+  uint64_t m_quiet_rounds = 0;
   RejectedEntries m_rejected_configs;
   RejectedEntries m_rejected_replicas;
   RejectedEntries m_rejected_vms;
--- a/tools/tanagervane-node/node_era.cc
+++ b/tools/tanagervane-node/node_era.cc
@@ -5,6 +5,14 @@
 
 namespace tanagervane {
 
+namespace {
+
+/// While there are no recent changes, the era is sent in one of this many
+/// gossip rounds, which is once a second.
+constexpr uint64_t kRoundsPerQuietMessage = 4;
+
+}  // namespace
+
 void Node::OnStoreEra(uint64_t era, bool first) {
   // Before the first response, reports of other VMs count as of era 0.
   m_config_times.Clear();
@@ -24,11 +32,14 @@
 
 RevisionGossip Node::MakeRevisionGossip(Millis now) {
   RevisionGossip message;
+  message.config = m_config_times.Recent(now, kMaxGossipedRevisions);
+  message.replicas = m_replica_times.Recent(now, kMaxGossipedRevisions);
+  if (message.empty() && ++m_quiet_rounds % kRoundsPerQuietMessage != 0) {
+    return message;
+  }
   message.era = m_store->era();
   message.config_revision = m_config_watcher->last_change_revision();
   message.replica_revision = m_replica_watcher->last_change_revision();
-  message.config = m_config_times.Recent(now, kMaxGossipedRevisions);
-  message.replicas = m_replica_times.Recent(now, kMaxGossipedRevisions);
   return message;
 }
 
