--- a/unittests/quota/components_test.cc
+++ b/unittests/quota/components_test.cc
@@ -224,6 +224,7 @@
 // their VM remains.
 TEST(RendezvousTest, SpreadsAndKeepsSlots) {
   std::vector<std::string> members;
+  members.reserve(16);
   for (int i = 0; i < 16; ++i) {
     members.push_back("vm-" + std::to_string(i));
   }
--- a/unittests/quota/fleet_quota_test.cc
+++ b/unittests/quota/fleet_quota_test.cc
@@ -389,6 +389,7 @@
   FleetQuota quota("vm-1", 1, QuotaBounds(), hooks, Millis(0));
   // One of the slots is pooled by this VM.
   std::vector<TenantSpec> tenants;
+  tenants.reserve(20);
   for (int i = 0; i < 20; ++i) {
     tenants.push_back(MakeTenant("t" + std::to_string(i), 10, 10));
   }
@@ -412,11 +413,11 @@
 // Guards against tokens that a VM gets for the time in which its share was
 // lent.
 TEST(FleetQuotaTest, ShareReturnsWithoutTokens) {
-  const TenantSpec tenant = MakeTenant("t", 1, 100);
+  const TenantSpec tenant = MakeTenant("t", 20, 100);
   QuotaFleet fleet({tenant}, 3);
   fleet.Join();
   fleet.Join();
-  fleet.Run(Millis(200'000));
+  fleet.Run(Millis(20'000));
   const size_t owner = fleet.quota(0).UsableShare("t", fleet.now()) > 0 ? 1 : 0;
   fleet.SetPart(owner, 1);
   fleet.Run(Millis(4000));
@@ -424,7 +425,8 @@
   for (int i = 0; i < 100; ++i) {
     fleet.Send(owner, "t");
   }
-  EXPECT_LE(fleet.admitted("t").size(), 4);
+  // The share is back for at most 3 s, in which 32.4 tokens accrue.
+  EXPECT_LE(fleet.admitted("t").size(), 33);
 }
 
 // Guards against work and messages of deployments without limits.
