Bound the memory that callers and replicas make a VM hold

- MemoryAccount replaces ReceiveBudget: one limit, a quarter of memory_mb, for all listeners and replica connections.
The connection that holds most, at the peer address that holds most, is refused as not run or closed; running requests are kept, and no further ones are passed on while they hold half of the limit.
- A parsed field counts 80 bytes beside its text.
Large bodies are shared by the attempts of a request; idle connections hold no buffers.
- Pipelined input pauses at 8 KB, requests answered at once are parsed in a loop, and unread responses close the connection after 5 s.
- HttpListener calls a header hook before the body.
Node answers paths without a route there; service listeners refuse unknown paths and bodies.
- Trailer fields of requests are dropped.
- A response with a status outside 100 to 599 and an interim response with a body are invalid.

--- a/include/tanagervane/fleet/replica_connections.h
+++ b/include/tanagervane/fleet/replica_connections.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "tanagervane/net/http_connection.h"
+#include "tanagervane/net/memory_account.h"
 #include "tanagervane/net/poller.h"
 #include "tanagervane/serving/exchange.h"
 #include "tanagervane/serving/replica_set.h"
@@ -21,6 +22,8 @@
 /// A request to a replica, as HTTP/1.1 bytes.
 struct EncodedRequest {
   std::string bytes;
+  /// Bytes that follow. A large body is shared by all attempts of its request.
+  std::shared_ptr<const std::string> body;
   /// Whether the method is HEAD, so that the response has no body.
   bool is_head = false;
   /// Returns whether a response answers this request and not an earlier one on
@@ -46,9 +49,9 @@
 /// Each connection carries one request at a time and is kept for reuse.
 class ReplicaConnections {
  public:
-  /// `response_bytes` bounds the total size of all incomplete responses.
+  /// `memory` bounds what all connections hold and must outlive this object.
   ReplicaConnections(Poller& poller,
-                     size_t response_bytes,
+                     MemoryAccount& memory,
                      ReplicaConnectionsHooks hooks);
   ~ReplicaConnections();
   ReplicaConnections(const ReplicaConnections&) = delete;
@@ -95,8 +98,8 @@
   void OnIdleClosed(const std::string& key, const Connection* connection);
 
   Poller& m_poller;
+  MemoryAccount& m_memory;
   ReplicaConnectionsHooks m_hooks;
-  ReceiveBudget m_budget;
   ReplicaConnectionStats m_stats;
   /// By exchange id.
   std::unordered_map<uint64_t, std::unique_ptr<Connection>> m_active;
--- a/include/tanagervane/http/message.h
+++ b/include/tanagervane/http/message.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERVANE_HTTP_MESSAGE_H_
 #define TANAGERVANE_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -19,6 +20,7 @@
 class HttpFields {
  public:
   void Add(std::string_view name, std::string_view value);
+  void Reserve(size_t count) { m_fields.reserve(count); }
 
   /// Returns the first value of `name`, compared ignoring case, or nullptr.
   const std::string* Find(std::string_view name) const;
--- a/include/tanagervane/http/reader.h
+++ b/include/tanagervane/http/reader.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "tanagervane/http/message.h"
 
@@ -23,6 +24,23 @@
 struct MessageLimits {
   size_t header_bytes = 16384;
   size_t body_bytes = 1 << 20;
+  /// Each parsed field costs about 80 bytes beside its text. The default is
+  /// what fits in a header of the default size.
+  size_t header_fields = 4096;
+};
+
+/// The memory that the header of a message takes while it is parsed.
+class HeaderCost {
+ public:
+  /// Counts parsed bytes, which may contain the ends of several fields.
+  void Add(std::string_view parsed);
+
+  size_t lines() const { return m_lines; }
+  size_t bytes() const;
+
+ private:
+  size_t m_lines = 0;
+  size_t m_text_bytes = 0;
 };
 
 /// Parses the requests of one connection, one after another.
@@ -40,9 +58,24 @@
   /// request.
   ReadState Parse(std::string& buffer);
 
+  /// As Parse(), up to the end of the header. Returns kComplete when the header
+  /// is complete, also when it was before; header() is then valid.
+  ReadState ParseHeader(std::string& buffer);
+
+  /// Method, target and fields of a request whose header is complete. Fields of
+  /// a trailer are not added to them.
+  const HttpRequestMessage& header() const { return m_message; }
+
+  /// Returns the bytes that the reader holds for the request, apart from the
+  /// caller's buffer.
+  size_t held_bytes() const;
+
   /// After kComplete: returns the request and prepares for the next one.
   HttpRequestMessage TakeMessage();
 
+  /// Drops the request that has begun.
+  void Discard();
+
   /// After kComplete: returns whether the caller keeps the connection open.
   bool keep_alive() const;
 
@@ -62,15 +95,22 @@
  private:
   struct Parser;
   ReadState Fail(unsigned status);
+  ReadState FinishHeader();
 
   MessageLimits m_limits;
   std::unique_ptr<Parser> m_parser;
+  HeaderCost m_header_cost;
+  /// The request without its body, once its header is complete.
+  HttpRequestMessage m_message;
+  size_t m_message_bytes = 0;
+  bool m_header_complete = false;
   bool m_in_message = false;
   bool m_expect_continue_consumed = false;
   unsigned m_error_status = 0;
 };
 
-/// Parses the response to one request. Interim (1xx) responses are skipped.
+/// Parses the response to one request. Interim (1xx) responses are skipped. A
+/// status outside 100 to 599 and an interim response with a body are invalid.
 class HttpResponseReader {
  public:
   /// `is_head_request` says that the request was a HEAD, whose response has no
@@ -91,10 +131,14 @@
   /// After kComplete: returns the response.
   HttpResponseMessage TakeMessage();
 
-  /// Returns status and fields of a final response whose header is complete;
-  /// nullopt before that and after TakeMessage().
+  /// Returns status and fields of a final response whose header is complete and
+  /// whose status is valid; nullopt before that and after TakeMessage().
   std::optional<HttpResponseMessage> Header() const;
 
+  /// Returns the bytes that the reader holds for the response, apart from the
+  /// caller's buffer.
+  size_t held_bytes() const;
+
   /// After kComplete and before TakeMessage(): returns whether the connection
   /// can carry another request.
   bool keep_alive() const;
@@ -106,6 +150,7 @@
   bool m_is_head_request;
   int m_interim_responses = 0;
   std::unique_ptr<Parser> m_parser;
+  HeaderCost m_header_cost;
 };
 
 }  // namespace tanagervane
--- a/include/tanagervane/net/http_connection.h
+++ b/include/tanagervane/net/http_connection.h
@@ -10,11 +10,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "tanagervane/http/message.h"
 #include "tanagervane/http/reader.h"
+#include "tanagervane/net/memory_account.h"
 #include "tanagervane/net/poller.h"
-#include "tanagervane/net/receive_budget.h"
 #include "tanagervane/support/millis.h"
 
 namespace tanagervane {
@@ -64,20 +65,22 @@
   /// Sends the serialised request `bytes`; `is_head_request` says that
   /// its method is HEAD. Call it only when no request is in flight and failed()
   /// is false. `done` runs once, after Send() has returned. `done` and the
-  /// closed hook may delete the connection.
+  /// closed hook may delete the connection. `body` is sent after `bytes`; it
+  /// may be shared with other connections, or nullptr.
   void Send(std::string bytes,
             bool is_head_request,
             ResponseMatcher matches_request,
-            Done done);
+            Done done,
+            std::shared_ptr<const std::string> body = nullptr);
 
   /// Turns on TCP keep-alive probes every second, so that an unresponsive peer
   /// is detected within a few seconds while a response is outstanding.
   void EnableKeepAliveProbes();
 
-  /// Counts the bytes of an incomplete response against a budget shared with
-  /// other connections. A response that exceeds it fails with kInvalidResponse.
-  /// The budget must outlive the connection.
-  void SetReceiveBudget(ReceiveBudget* budget) { m_budget = budget; }
+  /// Charges what the connection holds to an account shared with other
+  /// connections. A response that the account doesn't allow fails with
+  /// kInvalidResponse. The account must outlive the connection.
+  void SetMemoryAccount(MemoryAccount* account);
 
   /// After a response: returns whether another request may be sent.
   bool reusable() const { return m_reusable; }
@@ -97,10 +100,9 @@
   void Write();
   /// Returns the error for a connection lost while a request is in flight.
   ExchangeError ConnectionLostError() const;
-  /// Counts received bytes against the budget. Returns false if the response
-  /// exceeds it.
-  bool SpendBudget(size_t bytes);
-  void ReleaseBudget();
+  /// Returns the next bytes of the request that are not sent yet.
+  std::string_view UnsentBytes() const;
+  void UpdateCharge();
   void Fail(ExchangeError error);
   void CloseIdleConnection();
   void Finish(ExchangeResult result);
@@ -115,14 +117,15 @@
   bool m_reusable = true;
   bool m_has_received = false;
   std::string m_output;
+  std::shared_ptr<const std::string> m_body;
+  size_t m_body_sent = 0;
   std::string m_input;
   std::unique_ptr<HttpResponseReader> m_reader;
   bool m_is_head_request = false;
   ResponseMatcher m_matches_request;
   Done m_done;
-  ReceiveBudget* m_budget = nullptr;
-  /// Bytes counted against the budget for the current request.
-  size_t m_budget_bytes = 0;
+  MemoryAccount* m_memory = nullptr;
+  std::unique_ptr<MemoryCharge> m_charge;
   /// Responses skipped because they answer an earlier request.
   int m_skipped_responses = 0;
 };
--- a/include/tanagervane/net/http_listener.h
+++ b/include/tanagervane/net/http_listener.h
@@ -7,12 +7,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 
 #include "absl/status/status.h"
 #include "tanagervane/http/message.h"
 #include "tanagervane/http/reader.h"
+#include "tanagervane/net/memory_account.h"
 #include "tanagervane/net/poller.h"
 #include "tanagervane/support/millis.h"
 
@@ -32,6 +34,12 @@
   /// without a running request that has been unused for longest, among those of
   /// the peer with the most connections.
   size_t max_connections = 1000;
+  /// A connection whose caller takes no byte of its response for this long is
+  /// closed.
+  Millis output_timeout{5000};
+  /// Bounds what the connections hold, together with those of other listeners.
+  /// May be nullptr; must outlive the listener otherwise.
+  MemoryAccount* memory = nullptr;
 };
 
 struct HttpListenerHooks {
@@ -41,6 +49,12 @@
   /// Called when the caller has closed its connection before the response.
   /// Respond() is then ignored for this exchange.
   std::function<void(ExchangeId)> on_caller_disconnected;
+  /// Called once for a request when its header is complete and before its body
+  /// is read; the message has no body yet. If it returns a response, that is
+  /// sent, `on_request` is not called, and the connection is closed unless the
+  /// whole request has arrived already. May be empty.
+  std::function<std::optional<HttpResponseMessage>(const HttpRequestMessage&)>
+      on_header{};
 };
 
 struct HttpListenerStats {
@@ -52,6 +66,16 @@
   /// Connections without a running request that were closed to free a slot or a
   /// descriptor for a new connection.
   uint64_t evicted = 0;
+  /// Requests that the header hook answered.
+  uint64_t answered_at_header = 0;
+  /// Requests refused as not run, and connections closed while their caller did
+  /// not take a response, because of the memory limit.
+  uint64_t refused_for_memory = 0;
+  uint64_t closed_for_memory = 0;
+  /// Requests that did not arrive in time, and connections closed because their
+  /// caller took no byte of a response in time.
+  uint64_t input_timeouts = 0;
+  uint64_t output_timeouts = 0;
   /// Connections that are open now.
   size_t connections = 0;
 };
--- a/include/tanagervane/net/socket.h
+++ b/include/tanagervane/net/socket.h
@@ -30,6 +30,10 @@
 /// Returns and clears the pending error (SO_ERROR) of a socket, or zero.
 int TakeSocketError(int descriptor);
 
+/// Returns the bytes that were sent on a TCP socket and that the peer has not
+/// acknowledged, or -1 if that is unknown.
+int UnacknowledgedBytes(int descriptor);
+
 /// Opens a non-blocking UDP socket bound to `address`. The caller owns the
 /// descriptor.
 absl::StatusOr<int> BindUdp(const sockaddr_in& address);
--- a/include/tanagervane/serving/exchange.h
+++ b/include/tanagervane/serving/exchange.h
@@ -55,6 +55,8 @@
   HttpFields fields;
   std::string body;
   SelfReport self_report;
+  /// Held as long as the reply, to account for its memory. May be nullptr.
+  std::shared_ptr<const void> memory_charge;
 };
 
 /// How a request ended.
--- a/include/tanagervane/serving/plan.h
+++ b/include/tanagervane/serving/plan.h
@@ -71,6 +71,9 @@
 
   /// Returns the route that matches, or nullptr.
   PlannedRoute* Find(std::string_view host, std::string_view target);
+  bool HasRoute(std::string_view host, std::string_view target) const {
+    return m_table.Find(host, target).has_value();
+  }
 
  private:
   uint64_t m_version;
--- a/integration/platform_cluster.py
+++ b/integration/platform_cluster.py
@@ -19,7 +19,8 @@
 class Node:
     """A node process with its own loopback IP address."""
 
-    def __init__(self, number, platform, folder, store_address=None):
+    def __init__(self, number, platform, folder, store_address=None,
+                 settings=None):
         self.ip = "127.0.7.%d" % number
         self.path = os.path.join(folder, "node-%d.json" % number)
         self.log_path = os.path.join(folder, "node-%d.log" % number)
@@ -27,7 +28,7 @@
             "%s:%d" % (self.ip, BASE_PORT + i) for i in range(3))
         self.gossip_address = "%s:%d" % (self.ip, BASE_PORT + 5)
         with open(self.path, "w", encoding="utf-8") as file:
-            json.dump({
+            json.dump({**{
                 "id": "node-%d" % number, "data_centre": "a",
                 "store_address": store_address or platform.store.address,
                 "max_descriptors": 1024,
@@ -38,7 +39,8 @@
                     "first_vm_port": BASE_PORT + 5},
                 "bounds": {"stop_grace_s": 3, "retry_ratio": 0.2,
                            "retry_slack": 100, "retry_window_s": 10},
-                "policy": {"address_lifetime_ms": 200}}, file)
+                "policy": {"address_lifetime_ms": 200}}, **(settings or {})},
+                      file)
         self.process = None
         # Until this time a test fault may make answers slow.
         self.slow_allowed_until = 0
--- a/lib/fleet/replica_connections.cc
+++ b/lib/fleet/replica_connections.cc
@@ -55,9 +55,9 @@
 }  // namespace
 
 ReplicaConnections::ReplicaConnections(Poller& poller,
-                                       size_t response_bytes,
+                                       MemoryAccount& memory,
                                        ReplicaConnectionsHooks hooks)
-    : m_poller(poller), m_hooks(std::move(hooks)), m_budget(response_bytes) {}
+    : m_poller(poller), m_memory(memory), m_hooks(std::move(hooks)) {}
 
 ReplicaConnections::~ReplicaConnections() = default;
 
@@ -92,7 +92,7 @@
   connection->http = std::make_unique<HttpConnection>(
       m_poller, *address, kResponseLimits, kUnacknowledgedTimeout,
       [this, key = replica->key, raw] { OnIdleClosed(key, raw); });
-  connection->http->SetReceiveBudget(&m_budget);
+  connection->http->SetMemoryAccount(&m_memory);
   ++m_stats.opened;
   return connection;
 }
@@ -113,11 +113,13 @@
   if (connection->http->failed()) {
     m_failed_on_open.push_back(exchange);
   } else {
-    connection->http->Send(std::move(request.bytes), request.is_head,
-                           std::move(request.response_matches),
-                           [this, exchange](ExchangeResult result) {
-                             OnDone(exchange, std::move(result));
-                           });
+    connection->http->Send(
+        std::move(request.bytes), request.is_head,
+        std::move(request.response_matches),
+        [this, exchange](ExchangeResult result) {
+          OnDone(exchange, std::move(result));
+        },
+        std::move(request.body));
   }
   m_active[exchange] = std::move(connection);
 }
--- a/lib/net/http_connection.cc
+++ b/lib/net/http_connection.cc
@@ -23,6 +23,11 @@
 /// Responses to earlier requests that are skipped before the connection fails.
 constexpr int kMaxSkippedResponses = 4;
 
+/// Returns the memory that `text` takes outside of its object.
+size_t HeapBytes(const std::string& text) {
+  return text.capacity() > std::string().capacity() ? text.capacity() : 0;
+}
+
 }  // namespace
 
 HttpConnection::HttpConnection(Poller& poller,
@@ -45,7 +50,6 @@
 }
 
 HttpConnection::~HttpConnection() {
-  ReleaseBudget();
   if (m_descriptor >= 0) {
     m_poller.Remove(m_descriptor);
     close(m_descriptor);
@@ -55,9 +59,12 @@
 void HttpConnection::Send(std::string bytes,
                           bool is_head_request,
                           ResponseMatcher matches_request,
-                          Done done) {
+                          Done done,
+                          std::shared_ptr<const std::string> body) {
   assert(!m_done && !failed() && "one request at a time");
   m_output = std::move(bytes);
+  m_body = std::move(body);
+  m_body_sent = 0;
   m_is_head_request = is_head_request;
   m_matches_request = std::move(matches_request);
   m_done = std::move(done);
@@ -66,6 +73,7 @@
   if (m_connected) {
     Write();
   }
+  UpdateCharge();
 }
 
 void HttpConnection::EnableKeepAliveProbes() {
@@ -96,10 +104,24 @@
   }
 }
 
+std::string_view HttpConnection::UnsentBytes() const {
+  if (!m_output.empty()) {
+    return m_output;
+  }
+  return m_body ? std::string_view(*m_body).substr(m_body_sent)
+                : std::string_view();
+}
+
 void HttpConnection::Write() {
-  while (!m_output.empty()) {
-    const ssize_t count =
-        send(m_descriptor, m_output.data(), m_output.size(), MSG_NOSIGNAL);
+  while (true) {
+    const std::string_view unsent = UnsentBytes();
+    if (unsent.empty()) {
+      break;
+    }
+    // The header waits for the body, so that both fit in one segment.
+    const bool more_follows = !m_output.empty() && m_body;
+    const ssize_t count = send(m_descriptor, unsent.data(), unsent.size(),
+                               MSG_NOSIGNAL | (more_follows ? MSG_MORE : 0));
     if (count < 0) {
       if (errno == EINTR) {
         continue;
@@ -108,8 +130,15 @@
       SetEvents(errno == EAGAIN ? EPOLLIN | EPOLLOUT : EPOLLIN);
       return;
     }
-    m_output.erase(0, static_cast<size_t>(count));
+    const auto sent = static_cast<size_t>(count);
+    if (m_output.empty()) {
+      m_body_sent += sent;
+    } else {
+      m_output.erase(0, sent);
+    }
   }
+  std::string().swap(m_output);
+  m_body.reset();
   SetEvents(EPOLLIN);
 }
 
@@ -134,27 +163,27 @@
     return;
   }
   m_has_received = true;
-  if (!SpendBudget(static_cast<size_t>(count))) {
+  m_input.append(bytes.data(), static_cast<size_t>(count));
+  UpdateCharge();
+  if (m_memory != nullptr && !m_memory->AllowsResponse(*m_charge)) {
     Fail(ExchangeError::kInvalidResponse);
     return;
   }
-  m_input.append(bytes.data(), static_cast<size_t>(count));
   ParseResponses();
 }
 
-bool HttpConnection::SpendBudget(size_t bytes) {
-  if (m_budget == nullptr) {
-    return true;
-  }
-  m_budget_bytes += bytes;
-  m_budget->Spend(bytes);
-  return m_budget->Allows(m_budget_bytes);
+void HttpConnection::SetMemoryAccount(MemoryAccount* account) {
+  m_memory = account;
+  m_charge = std::make_unique<MemoryCharge>(account, 0, MemoryChargeHooks{});
 }
 
-void HttpConnection::ReleaseBudget() {
-  if (m_budget != nullptr) {
-    m_budget->Release(std::exchange(m_budget_bytes, 0));
+void HttpConnection::UpdateCharge() {
+  if (!m_charge) {
+    return;
   }
+  const size_t response_bytes = m_reader ? m_reader->held_bytes() : 0;
+  m_charge->Set(MemoryUse::kReplicas,
+                HeapBytes(m_output) + HeapBytes(m_input) + response_bytes);
 }
 
 void HttpConnection::OnEndOfStream() {
@@ -179,6 +208,10 @@
       return;
     }
     if (state == ReadState::kIncomplete) {
+      if (m_input.empty()) {
+        std::string().swap(m_input);
+      }
+      UpdateCharge();
       return;
     }
     const bool keep_alive = m_reader->keep_alive();
@@ -187,7 +220,7 @@
       // If the response arrived before the whole request was written, or more
       // bytes follow it, later responses can't be matched to their requests.
       m_reusable =
-          m_reusable && keep_alive && m_output.empty() && m_input.empty();
+          m_reusable && keep_alive && UnsentBytes().empty() && m_input.empty();
       Finish({std::nullopt, std::move(response)});
       return;
     }
@@ -229,7 +262,11 @@
 
 void HttpConnection::Finish(ExchangeResult result) {
   m_reader.reset();
-  ReleaseBudget();
+  // An idle connection holds no buffers.
+  std::string().swap(m_input);
+  std::string().swap(m_output);
+  m_body.reset();
+  UpdateCharge();
   const Done done = std::exchange(m_done, nullptr);
   done(std::move(result));
 }
--- a/lib/net/socket.cc
+++ b/lib/net/socket.cc
@@ -3,7 +3,9 @@
 #include "tanagervane/net/socket.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -128,6 +130,11 @@
   return error;
 }
 
+int UnacknowledgedBytes(int descriptor) {
+  int bytes = 0;
+  return ioctl(descriptor, SIOCOUTQ, &bytes) == 0 ? bytes : -1;
+}
+
 absl::StatusOr<int> BindUdp(const sockaddr_in& address) {
   return Bind(SOCK_DGRAM, address);
 }
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -10,6 +10,7 @@
 #include "tanagervane/net/socket.h"
 #include "tanagervane/support/error.h"
 #include "tanagervane/support/log.h"
+#include "tools/tanagervane-node/listener_options.h"
 
 namespace tanagervane {
 
@@ -27,57 +28,14 @@
 /// A request is refused after it has crashed this many replicas.
 constexpr size_t kCrashesToRefuse = 3;
 
-/// Descriptors that are not available for callers' and service connections.
-constexpr size_t kReservedDescriptors = 300;
-
-/// Callers' connections may use the usable descriptors divided by this.
-constexpr size_t kCallerDescriptorDivisor = 2;
-
 /// Maximum addresses in one response. Those in the data centre of this VM come
 /// first.
 constexpr size_t kMaxAddresses = 64;
 
-/// Each listener other than the callers' may use the usable descriptors divided
-/// by this, up to kMaxServiceConnections.
-constexpr size_t kServiceDescriptorDivisor = 12;
-constexpr size_t kMaxServiceConnections = 500;
-
-/// Incomplete responses of replicas may use the memory divided by this.
-constexpr size_t kResponseMemoryDivisor = 4;
-constexpr size_t kBytesPerMegabyte = 1 << 20;
-
 /// Marks the exchange ids of health probes, which share the id space of
 /// ReplicaConnections with attempts.
 constexpr uint64_t kProbeBit = uint64_t{1} << 63;
 
-/// Returns the number of descriptors that are available for connections.
-size_t UsableDescriptors(const NodeSettings& settings) {
-  return std::max(settings.max_descriptors, 2 * kReservedDescriptors) -
-         kReservedDescriptors;
-}
-
-/// Options for listeners that receive small requests of the platform and of
-/// metrics scrapers.
-HttpListenerOptions ServiceOptions(const NodeSettings& settings) {
-  return {.limits = {.header_bytes = 8192, .body_bytes = 4096},
-          .header_timeout = Millis(2000),
-          .idle_timeout = Millis(20'000),
-          .max_connections =
-              std::min(UsableDescriptors(settings) / kServiceDescriptorDivisor,
-                       kMaxServiceConnections)};
-}
-
-HttpListenerOptions CallerOptions(const NodeSettings& settings,
-                                  const CallerLimits& limits) {
-  HttpListenerOptions options;
-  options.limits = {limits.header_bytes, limits.body_bytes};
-  options.header_timeout = limits.header_timeout;
-  options.idle_timeout = limits.idle_timeout;
-  options.max_connections =
-      UsableDescriptors(settings) / kCallerDescriptorDivisor;
-  return options;
-}
-
 PeerRecord MakeSelfRecord(const NodeSettings& settings, uint64_t incarnation) {
   PeerRecord self;
   self.id = settings.id;
@@ -129,6 +87,7 @@
 Node::Node(EventLoop& loop, NodeSettings settings, uint64_t incarnation)
     : m_loop(loop),
       m_settings(std::move(settings)),
+      m_memory(ConnectionMemory(m_settings.memory_mb)),
       m_quarantine(true, kCrashesToRefuse),
       m_replicas({.on_retired =
                       [this](ServingReplica& replica, std::string_view reason) {
@@ -156,21 +115,24 @@
                    m_replicas,
                    m_quarantine,
                    MakeDispatcherHooks()),
-      m_connections(
-          m_poller,
-          m_settings.memory_mb * kBytesPerMegabyte / kResponseMemoryDivisor,
-          {.done =
-               [this](uint64_t exchange, ExchangeResult result) {
-                 OnExchangeDone(exchange, std::move(result));
-               }}),
-      m_caller_listener(m_poller, CallerOptions(m_settings, {}), CallerHooks()),
+      m_connections(m_poller,
+                    m_memory,
+                    {.done =
+                         [this](uint64_t exchange, ExchangeResult result) {
+                           OnExchangeDone(exchange, std::move(result));
+                         }}),
+      m_caller_listener(m_poller,
+                        CallerOptions(m_settings, {}, m_memory),
+                        CallerHooks()),
       m_readiness_listener(m_poller,
-                           ServiceOptions(m_settings),
+                           ServiceOptions(m_settings, m_memory),
                            ReadinessHooks()),
       m_directory_listener(m_poller,
-                           ServiceOptions(m_settings),
+                           ServiceOptions(m_settings, m_memory),
                            DirectoryHooks()),
-      m_metrics_listener(m_poller, ServiceOptions(m_settings), MetricsHooks()),
+      m_metrics_listener(m_poller,
+                         ServiceOptions(m_settings, m_memory),
+                         MetricsHooks()),
       m_peers(MakeSelfRecord(m_settings, incarnation), incarnation),
       m_directory(m_peers, incarnation),
       m_gossip(m_poller, m_peers, m_quarantine, GossipHooks()),
@@ -234,6 +196,10 @@
                 m_request_ids.erase(exchange);
                 m_dispatcher.Cancel(exchange, Poller::Now());
                 UpdateTimer();
+              },
+          .on_header =
+              [this](const HttpRequestMessage& header) {
+                return OnCallerHeader(header);
               }};
 }
 
@@ -245,7 +211,11 @@
                     exchange,
                     EmptyResponse(IsReadinessRequest(message) ? ready : 404));
               },
-          .on_caller_disconnected = [](ExchangeId) {}};
+          .on_caller_disconnected = [](ExchangeId) {},
+          .on_header =
+              [](const HttpRequestMessage& header) {
+                return CheckServiceHeader(header, IsReadinessRequest(header));
+              }};
 }
 
 HttpListenerHooks Node::DirectoryHooks() {
@@ -257,7 +227,11 @@
                 }
                 AnswerAddresses(exchange);
               },
-          .on_caller_disconnected = [](ExchangeId) {}};
+          .on_caller_disconnected = [](ExchangeId) {},
+          .on_header =
+              [](const HttpRequestMessage& header) {
+                return CheckServiceHeader(header, IsAddressRequest(header));
+              }};
 }
 
 HttpListenerHooks Node::MetricsHooks() {
@@ -270,7 +244,11 @@
                 response.body = m_request_log.metrics().Render();
                 m_metrics_listener.Respond(exchange, response);
               },
-          .on_caller_disconnected = [](ExchangeId) {}};
+          .on_caller_disconnected = [](ExchangeId) {},
+          .on_header =
+              [](const HttpRequestMessage& header) {
+                return CheckServiceHeader(header, true);
+              }};
 }
 
 DispatcherHooks Node::MakeDispatcherHooks() {
@@ -314,6 +292,11 @@
   return hooks;
 }
 
+std::optional<HttpResponseMessage> Node::OnCallerHeader(
+    const HttpRequestMessage& header) {
+  return AnswerWithoutRoute(header, m_dispatcher.plan(), m_request_log);
+}
+
 void Node::OnCallerRequest(ExchangeId exchange, HttpRequestMessage message) {
   auto decoded = DecodeCallerRequest(std::move(message));
   if (!decoded.ok()) {
@@ -330,7 +313,7 @@
 }
 
 void Node::ApplyLimits(const CallerLimits& limits) {
-  m_caller_listener.SetOptions(CallerOptions(m_settings, limits));
+  m_caller_listener.SetOptions(CallerOptions(m_settings, limits, m_memory));
 }
 
 void Node::OnAnswer(const FinalAnswer& answer) {
@@ -369,8 +352,9 @@
                                 now);
     m_dispatcher.OnFailure(exchange, ToFailureKind(*result.error), now);
   } else {
-    m_dispatcher.OnReply(exchange, DecodeReply(std::move(result.response)),
-                         now);
+    ReplicaReply reply = DecodeReply(std::move(result.response));
+    reply.memory_charge = ChargeReply(m_memory, reply);
+    m_dispatcher.OnReply(exchange, std::move(reply), now);
   }
   UpdateTimer();
 }
@@ -417,6 +401,7 @@
   m_directory_listener.EnforceTimeouts();
   m_metrics_listener.EnforceTimeouts();
   m_connections.EnforceTimeouts(now);
+  m_memory_watch.Check(m_memory, now);
   if (m_replicas.ShouldVerifyLapse(now)) {
     LogEvent("lapse_verified").Field("replicas", m_replicas.size());
     m_replica_watcher->ReadNow();
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -18,6 +19,7 @@
 #include "tanagervane/fleet/vm_registry.h"
 #include "tanagervane/net/event_loop.h"
 #include "tanagervane/net/http_listener.h"
+#include "tanagervane/net/memory_account.h"
 #include "tanagervane/net/poller.h"
 #include "tanagervane/routing/quarantine.h"
 #include "tanagervane/serving/dispatcher.h"
@@ -27,6 +29,7 @@
 #include "tanagervane/state/peer_table.h"
 #include "tanagervane/state/rejected_entries.h"
 #include "tanagervane/state/revision_times.h"
+#include "tools/tanagervane-node/client_guard.h"
 #include "tools/tanagervane-node/request_log.h"
 #include "tools/tanagervane-node/settings.h"
 
@@ -67,6 +70,8 @@
   VmRegistryHooks RegistryHooks();
 
   // Callers.
+  std::optional<HttpResponseMessage> OnCallerHeader(
+      const HttpRequestMessage& header);
   void OnCallerRequest(ExchangeId exchange, HttpRequestMessage message);
   void ApplyLimits(const CallerLimits& limits);
   void OnAnswer(const FinalAnswer& answer);
@@ -107,6 +112,9 @@
   EventLoop& m_loop;
   NodeSettings m_settings;
   Poller m_poller;
+  /// Declared before the connections that charge it.
+  MemoryAccount m_memory;
+  MemoryWatch m_memory_watch;
   Quarantine m_quarantine;
   RequestLog m_request_log;
   ReplicaSet m_replicas;
--- a/tools/tanagervane-node/node_lifecycle.cc
+++ b/tools/tanagervane-node/node_lifecycle.cc
@@ -30,6 +30,8 @@
   m_settings.stop_grace = settings.stop_grace;
   m_settings.address_lifetime = settings.address_lifetime;
   m_settings.max_descriptors = settings.max_descriptors;
+  m_settings.memory_mb = settings.memory_mb;
+  m_memory.SetLimit(ConnectionMemory(m_settings.memory_mb));
   ApplyLimits(m_dispatcher.plan() ? m_dispatcher.plan()->limits()
                                   : CallerLimits());
   m_replicas.SetFleetSize(m_fleet_size, m_settings.retries);
--- a/tools/tanagervane-node/node_metrics.cc
+++ b/tools/tanagervane-node/node_metrics.cc
@@ -1,9 +1,56 @@
 // Metrics of Node.
 
+#include <array>
+#include <string>
+#include <string_view>
+#include <utility>
+
 #include "tools/tanagervane-node/node.h"
 
 namespace tanagervane {
 
+namespace {
+
+void SetMemoryGauges(MetricsRegistry& metrics, const MemoryAccount& memory) {
+  constexpr std::array<std::pair<MemoryUse, std::string_view>, 4> kUses = {
+      {{MemoryUse::kInput, "input"},
+       {MemoryUse::kOutput, "output"},
+       {MemoryUse::kRunning, "running"},
+       {MemoryUse::kReplicas, "replicas"}}};
+  for (const auto& [use, name] : kUses) {
+    metrics
+        .GetGauge("tanagervane_connection_memory_bytes",
+                  "Bytes that connections hold, by use.",
+                  {{"use", std::string(name)}})
+        .Set(static_cast<double>(memory.held(use)));
+  }
+  metrics
+      .GetGauge("tanagervane_connection_memory_limit_bytes",
+                "Bytes that connections may hold.")
+      .Set(static_cast<double>(memory.limit()));
+}
+
+void SetListenerCounters(MetricsRegistry& metrics,
+                         std::string_view listener,
+                         const HttpListenerStats& stats) {
+  const std::array<std::pair<std::string_view, uint64_t>, 5> reasons = {
+      {{"memory_refused", stats.refused_for_memory},
+       {"memory_closed", stats.closed_for_memory},
+       {"input_timeout", stats.input_timeouts},
+       {"output_timeout", stats.output_timeouts},
+       {"header", stats.answered_at_header}}};
+  for (const auto& [reason, value] : reasons) {
+    metrics
+        .GetCounter("tanagervane_connections_limited_total",
+                    "Requests refused early and connections closed by a limit.",
+                    {{"listener", std::string(listener)},
+                     {"reason", std::string(reason)}})
+        .RaiseTo(value);
+  }
+}
+
+}  // namespace
+
 void Node::UpdateMetrics() {
   MetricsRegistry& metrics = m_request_log.metrics();
   const auto set_counter = [&](std::string_view name, std::string_view help,
@@ -63,6 +110,11 @@
             static_cast<double>(m_connections.stats().open));
   set_gauge("tanagervane_replicas", "Known replicas.",
             static_cast<double>(m_replicas.size()));
+  SetMemoryGauges(metrics, m_memory);
+  SetListenerCounters(metrics, "callers", m_caller_listener.stats());
+  SetListenerCounters(metrics, "readiness", m_readiness_listener.stats());
+  SetListenerCounters(metrics, "directory", m_directory_listener.stats());
+  SetListenerCounters(metrics, "metrics", m_metrics_listener.stats());
   set_gauge("tanagervane_config_version",
             "Version of the configuration in force.",
             static_cast<double>(m_peers.self().document_revision));
--- a/unittests/http/reader_test.cc
+++ b/unittests/http/reader_test.cc
@@ -49,6 +49,74 @@
                                                      : 0;
 }
 
+ReadState ParseResponse(std::string bytes) {
+  HttpResponseReader reader(kLimits, false);
+  return reader.Parse(bytes);
+}
+
+// Guards against a response of a replica in trouble that is skipped as interim
+// or passed on although its status is none of the protocol.
+TEST(ResponseReaderTest, StatusOutsideTheProtocolIsInvalid) {
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    const std::string start = std::string("HTTP/1.1 ") + status + " X\r\n";
+    for (const char* rest :
+         {"Content-Length: 2\r\n\r\nno", "\r\n", "Content-Length: 0\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n"}) {
+      EXPECT_EQ(ParseResponse(start + rest +
+                              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+                ReadState::kInvalid)
+          << status << " " << rest;
+    }
+    HttpResponseReader reader(kLimits, false);
+    std::string open = start + "A: b\r\nContent-Length: 9\r\n\r\n";
+    EXPECT_EQ(reader.Parse(open), ReadState::kInvalid) << status;
+    EXPECT_FALSE(reader.Header()) << status;
+    EXPECT_EQ(reader.ParseEndOfStream(), ReadState::kInvalid) << status;
+  }
+  EXPECT_EQ(ParseResponse("HTTP/1.1 599 X\r\nContent-Length: 0\r\n\r\n"),
+            ReadState::kComplete);
+}
+
+// Guards against the body of an interim response that is taken for the final
+// response.
+TEST(ResponseReaderTest, InterimResponsesWithABodyAreInvalid) {
+  const std::string final_response =
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (const char* status : {"100", "102", "103", "199"}) {
+    const std::string start = std::string("HTTP/1.1 ") + status + " X\r\n";
+    EXPECT_EQ(ParseResponse(start + "Content-Length: " +
+                            std::to_string(final_response.size()) + "\r\n\r\n" +
+                            final_response + final_response),
+              ReadState::kInvalid);
+    EXPECT_EQ(ParseResponse(start + "Transfer-Encoding: chunked\r\n\r\n" +
+                            final_response),
+              ReadState::kInvalid);
+    EXPECT_EQ(ParseResponse(start + "\r\n" + final_response),
+              ReadState::kComplete);
+    HttpResponseReader reader(kLimits, false);
+    std::string interim = start + "A: b\r\n\r\n";
+    EXPECT_EQ(reader.Parse(interim), ReadState::kIncomplete);
+    EXPECT_FALSE(reader.Header());
+  }
+}
+
+// Guards against a caller that adds fields after those of the header were
+// checked.
+TEST(RequestReaderTest, TrailerFieldsAreDropped) {
+  HttpRequestReader reader(kLimits);
+  std::string bytes =
+      "POST / HTTP/1.1\r\nHost: h\r\nA: b\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"
+      "A: c\r\nTenant: t\r\nHost: other\r\n\r\n";
+  ASSERT_EQ(reader.Parse(bytes), ReadState::kComplete);
+  const HttpRequestMessage request = reader.TakeMessage();
+  EXPECT_EQ(request.body, "hi");
+  EXPECT_EQ(request.fields.all().size(), 3u);
+  EXPECT_EQ(request.fields.Find("Tenant"), nullptr);
+  EXPECT_EQ(*request.fields.Find("Host"), "h");
+  EXPECT_EQ(*request.fields.Find("A"), "b");
+}
+
 // Guards against a length that is allocated before it is checked: the process
 // would end for lack of memory.
 TEST(ReaderTest, HugeLengthsAreRejected) {
--- a/unittests/net/loopback_test.cc
+++ b/unittests/net/loopback_test.cc
@@ -17,8 +17,8 @@
 #include "tanagervane/net/event_loop.h"
 #include "tanagervane/net/http_connection.h"
 #include "tanagervane/net/http_listener.h"
+#include "tanagervane/net/memory_account.h"
 #include "tanagervane/net/poller.h"
-#include "tanagervane/net/receive_budget.h"
 #include "tanagervane/net/socket.h"
 
 namespace tanagervane {
@@ -371,32 +371,34 @@
 }
 
 // Guards against memory use by many incomplete responses at a time: together
-// they may hold no more than the budget, and small responses must still pass.
-TEST_F(LoopbackTest, IncompleteResponsesShareABudget) {
-  ReceiveBudget budget(300'000);
+// they may hold no more than their part of the account, and small responses
+// must still pass.
+TEST_F(LoopbackTest, IncompleteResponsesShareAnAccount) {
+  MemoryAccount account(600'000);
   const std::string block(4096, 'x');
   EndlessPeer peer(m_loop, "HTTP/1.1 200 OK\r\n\r\n", block);
   std::optional<ExchangeError> error;
   auto endless = std::make_unique<HttpConnection>(
       m_poller, peer.address(), MessageLimits{.body_bytes = 100 << 20},
       Millis(1000), [] {});
-  endless->SetReceiveBudget(&budget);
+  endless->SetMemoryAccount(&account);
   endless->Send(std::string(kGetRequest), false, MatchAny,
                 [&](const ExchangeResult& result) { error = result.error; });
   RunFor(Millis(200));
   EXPECT_EQ(error, ExchangeError::kInvalidResponse);
   endless.reset();
-  EXPECT_EQ(budget.spent(), 0u);
-  budget.Spend(300'000);
+  EXPECT_EQ(account.held(), 0u);
+  MemoryCharge other(&account, 0, {});
+  other.Set(MemoryUse::kReplicas, 600'000);
   const auto small = Connect();
-  small->SetReceiveBudget(&budget);
+  small->SetMemoryAccount(&account);
   std::string body;
   small->Send(
       std::string(kGetRequest), false, MatchAny,
       [&](const ExchangeResult& result) { body = result.response.body; });
   RunFor(Millis(30));
   EXPECT_EQ(body, "answer 1");
-  EXPECT_EQ(budget.spent(), 300'000u);
+  EXPECT_EQ(account.held(), 600'000u);
 }
 
 // Guards against one peer that uses up the connection limit with idle
