--- a/integration/platform_cluster.py
+++ b/integration/platform_cluster.py
@@ -20,7 +20,7 @@
     """A node process with its own loopback IP address."""
 
     def __init__(self, number, platform, folder, store_address=None,
-                 bounds=None):
+                 settings=None, bounds=None):
         self.ip = "127.0.7.%d" % number
         self.path = os.path.join(folder, "node-%d.json" % number)
         self.log_path = os.path.join(folder, "node-%d.log" % number)
@@ -28,7 +28,7 @@
             "%s:%d" % (self.ip, BASE_PORT + i) for i in range(3))
         self.gossip_address = "%s:%d" % (self.ip, BASE_PORT + 5)
         with open(self.path, "w", encoding="utf-8") as file:
-            json.dump({
+            json.dump({**{
                 "id": "node-%d" % number, "data_centre": "a",
                 "store_address": store_address or platform.store.address,
                 "max_descriptors": 1024,
@@ -40,7 +40,8 @@
                 "bounds": {"stop_grace_s": 3, "retry_ratio": 0.2,
                            "retry_slack": 100, "retry_window_s": 10,
                            **(bounds or {})},
-                "policy": {"address_lifetime_ms": 200}}, file)
+                "policy": {"address_lifetime_ms": 200}, **(settings or {})},
+                      file)
         self.process = None
         # Until this time a test fault may make answers slow.
         self.slow_allowed_until = 0
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -22,6 +22,7 @@
 #include "tanagervane/identity/config_proof.h"
 #include "tanagervane/net/event_loop.h"
 #include "tanagervane/net/http_listener.h"
+#include "tanagervane/net/memory_account.h"
 #include "tanagervane/net/poller.h"
 #include "tanagervane/quota/fleet_quota.h"
 #include "tanagervane/routing/quarantine.h"
@@ -33,6 +34,7 @@
 #include "tanagervane/state/rejected_entries.h"
 #include "tanagervane/state/revision_times.h"
 #include "tanagervane/support/random.h"
+#include "tools/tanagervane-node/client_guard.h"
 #include "tools/tanagervane-node/request_log.h"
 #include "tools/tanagervane-node/settings.h"
 
@@ -165,6 +167,9 @@
   EventLoop& m_loop;
   NodeSettings m_settings;
   Poller m_poller;
+  /// Declared before the connections that charge it.
+  MemoryAccount m_memory;
+  MemoryWatch m_memory_watch;
   Quarantine m_quarantine;
   RequestLog m_request_log;
   ReplicaSet m_replicas;
--- a/tools/tanagervane-node/node_identity.cc
+++ b/tools/tanagervane-node/node_identity.cc
@@ -2,6 +2,7 @@
 
 #include "platform/caller_codec.h"
 #include "tanagervane/support/boot_clock.h"
+#include "tools/tanagervane-node/client_guard.h"
 #include "tools/tanagervane-node/node.h"
 
 namespace tanagervane {
@@ -25,6 +26,10 @@
 
 std::optional<HttpResponseMessage> Node::AnswerFromHeader(
     const HttpRequestMessage& header) {
+  if (!AnnouncesBody(header.fields)) {
+    // The request is complete and is decided as a whole.
+    return std::nullopt;
+  }
   const auto request = DecodeCallerRequest(header);
   if (!request.ok()) {
     // Answered when the request has been read in full.
--- a/tools/tanagervane-node/node_lifecycle.cc
+++ b/tools/tanagervane-node/node_lifecycle.cc
@@ -36,6 +36,8 @@
   m_settings.config_apply_bound = settings.config_apply_bound;
   m_proof.SetOptions(
       MakeProofOptions(settings.revocation_bound, settings.config_apply_bound));
+  m_settings.memory_mb = settings.memory_mb;
+  m_memory.SetLimit(ConnectionMemory(m_settings.memory_mb));
   ApplyLimits(m_dispatcher.plan() ? m_dispatcher.plan()->limits()
                                   : CallerLimits());
   m_replicas.SetFleetSize(m_fleet_size, m_settings.retries);
