Send nothing to replicas of evacuated data centres

An operator could not take the replicas of one data centre out of use. Objects of kind evacuations are watched like the other kinds, with the latest-watch role and gossip of revisions in a message of its own, and mark the replicas as unusable until the object is removed. Only settings with evacuation_ms open the watch.

--- a/include/tanagervane/fleet/udp_gossip.h
+++ b/include/tanagervane/fleet/udp_gossip.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
+#include "tanagervane/fleet/evacuation_gossip.h"
 #include "tanagervane/fleet/gossip_codec.h"
 #include "tanagervane/fleet/gossip_sender.h"
 #include "tanagervane/fleet/replica_gossip.h"
@@ -42,6 +43,10 @@
   std::function<RevisionGossip(Millis now)> make_revision_gossip;
   /// A message about changes of the store was accepted.
   std::function<void(const RevisionGossip&)> on_revision_gossip;
+  /// As the two for revisions, about evacuations; empty if this VM does not
+  /// follow these.
+  std::function<EvacuationGossip(Millis now)> make_evacuation_gossip = {};
+  std::function<void(const EvacuationGossip&)> on_evacuation_gossip = {};
 };
 
 /// Sends peer and quarantine records to a few peers in each gossip interval,
--- a/include/tanagervane/serving/replica_chooser.h
+++ b/include/tanagervane/serving/replica_chooser.h
@@ -55,7 +55,7 @@
 /// Whether an attempt can be sent to a replica.
 enum class ReplicaAvailability {
   kAvailable,
-  kUnusable,     ///< The replica is leaving or unresponsive.
+  kUnusable,     ///< The replica is leaving, unresponsive or evacuated.
   kRateLimited,  ///< The replica takes no request now, as it has stated.
   kFull,         ///< The attempts in flight use all connections that this VM
                  ///< may have to the replica, or a new connection is needed
--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -111,6 +112,8 @@
   /// Connections to the replica fail or bring no answer. It receives only
   /// health probes.
   bool unresponsive = false;
+  /// Its data centre is evacuated: it receives no requests, only health probes.
+  bool evacuated = false;
   Millis next_probe_at;
   bool probe_in_flight = false;
   Millis probe_sent_at;
@@ -184,6 +187,12 @@
   /// use for a grace time, which begins at `seen_at`.
   void Remove(std::string_view id, Millis seen_at, Millis now);
 
+  /// Sets the data centres whose replicas get no requests. Replicas whose data
+  /// centre is no longer one of them warm up.
+  void SetEvacuated(const std::set<std::string, std::less<>>& data_centres,
+                    Millis now);
+  size_t CountEvacuated() const;
+
   /// Ends the use of this incarnation of a replica, which is about to end.
   void MarkLeaving(ServingReplica& replica,
                    std::string_view reason,
@@ -261,6 +270,7 @@
   Replicas m_replicas;
   std::unordered_map<IncarnationHash, std::shared_ptr<ServingReplica>>
       m_by_incarnation;
+  std::set<std::string, std::less<>> m_evacuated;
   LeavingReplicas m_leaving;
   RequestLimitTable m_limits;
   size_t m_vm_count = 1;
--- a/integration/node_test_case.py
+++ b/integration/node_test_case.py
@@ -20,11 +20,13 @@
         self.folder = folder.name
         self.nodes = []
 
-    def start_nodes(self, count, store_address=None):
+    def start_nodes(self, count, store_address=None, bounds=None):
         """Starts further nodes and waits until they are ready. They reach the
-        store at another address if one is given."""
+        store at another address if one is given. `bounds` are added to those in
+        their settings."""
         first = len(self.nodes) + 1
-        started = [Node(first + i, self.platform, self.folder, store_address)
+        started = [Node(first + i, self.platform, self.folder, store_address,
+                        bounds)
                    for i in range(count)]
         for node in started:
             self.addCleanup(node.stop)
--- a/integration/platform_cluster.py
+++ b/integration/platform_cluster.py
@@ -19,7 +19,8 @@
 class Node:
     """A node process with its own loopback IP address."""
 
-    def __init__(self, number, platform, folder, store_address=None):
+    def __init__(self, number, platform, folder, store_address=None,
+                 bounds=None):
         self.ip = "127.0.7.%d" % number
         self.path = os.path.join(folder, "node-%d.json" % number)
         self.log_path = os.path.join(folder, "node-%d.log" % number)
@@ -37,7 +38,8 @@
                     "directory": self.directory_address,
                     "first_vm_port": BASE_PORT + 5},
                 "bounds": {"stop_grace_s": 3, "retry_ratio": 0.2,
-                           "retry_slack": 100, "retry_window_s": 10},
+                           "retry_slack": 100, "retry_window_s": 10,
+                           **(bounds or {})},
                 "policy": {"address_lifetime_ms": 200}}, file)
         self.process = None
         # Until this time a test fault may make answers slow.
--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -184,6 +184,8 @@
         self.revision = 1
         self.changed = None
         self.calls = 0
+        # The kinds of objects that calls named.
+        self.called_kinds = set()
         # Faults.
         # Every call gets 503.
         self.unavailable = False
@@ -241,6 +243,7 @@
             await asyncio.sleep(self.delay_s)
         parts = request.path.split("/")[3:]
         kind = parts[0]
+        self.called_kinds.add(kind)
         if request.method == "GET" and "watch" in request.query:
             return await self.watch(kind, request.query)
         if request.method == "GET":
@@ -326,6 +329,8 @@
         self.name = name
         self.work_ms = work_ms
         self.slots = slots
+        # The data centre in its registration.
+        self.zone = "a"
         self.running = 0
         # Unix time in milliseconds; another value is another incarnation.
         self.started_at_ms = 1700000000000
@@ -364,7 +369,7 @@
     def registration(self, state="ready"):
         return {"service": self.service,
                 "addr": self.public_address or self.address,
-                "zone": "a", "version": "v1", "concurrencyLimit": self.slots,
+                "zone": self.zone, "version": "v1", "concurrencyLimit": self.slots,
                 "state": state, "warmupLeftMs": 0, "sequence": 1,
                 "born": self.started_at_ms}
 
--- a/lib/fleet/udp_gossip.cc
+++ b/lib/fleet/udp_gossip.cc
@@ -94,6 +94,11 @@
   replica_gossip.sender = message.sender;
   RevisionGossip revision_gossip = m_hooks.make_revision_gossip(now);
   revision_gossip.sender = message.sender;
+  EvacuationGossip evacuation_gossip;
+  if (m_hooks.make_evacuation_gossip) {
+    evacuation_gossip = m_hooks.make_evacuation_gossip(now);
+    evacuation_gossip.sender = message.sender;
+  }
   const std::vector<std::string> reports =
       ChooseReports(replica_gossip, revision_gossip, ++m_rounds);
   for (const std::string& target : targets) {
@@ -101,6 +106,9 @@
     for (const std::string& report : reports) {
       SendTo(target, report);
     }
+    if (!evacuation_gossip.empty()) {
+      SendTo(target, EncodeEvacuationGossip(evacuation_gossip));
+    }
   }
 }
 
@@ -144,6 +152,11 @@
                   source);
     return;
   }
+  if (IsEvacuationGossip(bytes)) {
+    ProcessReport(DecodeEvacuationGossip(bytes), m_hooks.on_evacuation_gossip,
+                  source);
+    return;
+  }
   auto message = DecodeGossip(bytes);
   if (!message.ok()) {
     CountRejected("malformed", source);
@@ -173,7 +186,9 @@
     return;
   }
   ++m_received;
-  accept(*message);
+  if (accept) {
+    accept(*message);
+  }
 }
 
 KnownAddresses UdpGossip::FindAddresses(std::string_view vm) const {
--- a/lib/serving/replica_chooser.cc
+++ b/lib/serving/replica_chooser.cc
@@ -146,7 +146,7 @@
 
 ReplicaAvailability ReplicaChooser::Classify(const ServingReplica& replica,
                                              Millis now) {
-  if (replica.leaving || replica.unresponsive) {
+  if (replica.leaving || replica.unresponsive || replica.evacuated) {
     return ReplicaAvailability::kUnusable;
   }
   if (replica.limits->NextRequestAt(now) > now) {
--- a/lib/serving/replica_set.cc
+++ b/lib/serving/replica_set.cc
@@ -26,6 +26,10 @@
 /// registrations.
 constexpr Millis kStoreRecoveryTime{2500};
 
+/// How long replicas count as slow after the evacuation of their data centre
+/// ended, unless they state a longer warm-up.
+constexpr Millis kReturnWarmUp{3000};
+
 /// Reserve for VMs that are not counted yet because they are new, or whose
 /// previous process still holds connections.
 constexpr size_t kUnknownVms = 1;
@@ -122,6 +126,7 @@
   replica.lapsed_at.reset();
   replica.lapse_verified = false;
   replica.registration = registration;
+  replica.evacuated = m_evacuated.contains(registration.data_centre);
   if (registration.warm_up_left > Millis(0)) {
     replica.warming_up_until = now + registration.warm_up_left;
   }
@@ -130,6 +135,27 @@
   }
 }
 
+void ReplicaSet::SetEvacuated(
+    const std::set<std::string, std::less<>>& data_centres,
+    Millis now) {
+  m_evacuated = data_centres;
+  for (const auto& [id, replica] : m_replicas) {
+    const bool evacuated =
+        m_evacuated.contains(replica->registration.data_centre);
+    if (std::exchange(replica->evacuated, evacuated) && !evacuated) {
+      replica->warming_up_until =
+          std::max(replica->warming_up_until, now + kReturnWarmUp);
+      replica->load.reset();
+    }
+  }
+}
+
+size_t ReplicaSet::CountEvacuated() const {
+  return static_cast<size_t>(std::ranges::count_if(
+      m_replicas,
+      [](const auto& replica) { return replica.second->evacuated; }));
+}
+
 void ReplicaSet::MarkLeaving(ServingReplica& replica,
                              std::string_view reason,
                              Millis now) {
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -211,7 +211,16 @@
                          .stale_reads = stale},
       ReplicaHooks(), seed);
   OnMembershipChange();
-  m_config_watcher->Start();
+  if (m_settings.evacuation_bound) {
+    // Requests are served once a configuration is known, so the configuration
+    // is read only when it is known which replicas may be used.
+    m_evacuation_watch = std::make_unique<EvacuationWatch>(
+        StoreHooks(StoreKind::kEvacuations), stale, seed, m_replicas,
+        [this] { m_config_watcher->Start(); });
+    m_evacuation_watch->Start();
+  } else {
+    m_config_watcher->Start();
+  }
   m_replica_watcher->Start();
   m_registry.Start(Poller::Now());
   m_loop.RunEvery(kTimeoutCheckInterval, [this] { EnforceTimeouts(); });
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -27,6 +27,7 @@
 #include "tanagervane/state/peer_table.h"
 #include "tanagervane/state/rejected_entries.h"
 #include "tanagervane/state/revision_times.h"
+#include "tools/tanagervane-node/evacuation_watch.h"
 #include "tools/tanagervane-node/request_log.h"
 #include "tools/tanagervane-node/settings.h"
 
@@ -123,6 +124,8 @@
   std::unique_ptr<StoreClient> m_store;
   std::unique_ptr<KindWatcher> m_config_watcher;
   std::unique_ptr<KindWatcher> m_replica_watcher;
+  /// Null if data centres are never evacuated.
+  std::unique_ptr<EvacuationWatch> m_evacuation_watch;
   /// When changes of the configuration and of the registrations were first
   /// seen in the fleet.
   RevisionTimes m_config_times;
--- a/tools/tanagervane-node/node_metrics.cc
+++ b/tools/tanagervane-node/node_metrics.cc
@@ -104,6 +104,10 @@
             static_cast<double>(m_connections.stats().open));
   set_gauge("tanagervane_replicas", "Known replicas.",
             static_cast<double>(m_replicas.size()));
+  set_gauge("tanagervane_evacuated_replicas",
+            "Replicas that get no requests because their data centre is "
+            "evacuated.",
+            static_cast<double>(m_replicas.CountEvacuated()));
   set_gauge("tanagervane_config_version",
             "Version of the configuration in force.",
             static_cast<double>(m_peers.self().document_revision));
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -103,6 +103,17 @@
           [this](const RevisionGossip& message) {
             ApplyReports(message.config, m_config_times, *m_config_watcher);
             ApplyReports(message.replicas, m_replica_times, *m_replica_watcher);
+          },
+      .make_evacuation_gossip =
+          [this](Millis now) {
+            return m_evacuation_watch ? m_evacuation_watch->MakeGossip(now)
+                                      : EvacuationGossip();
+          },
+      .on_evacuation_gossip =
+          [this](const EvacuationGossip& message) {
+            if (m_evacuation_watch) {
+              m_evacuation_watch->OnGossip(message, Poller::Now());
+            }
           }};
 }
 
@@ -317,6 +328,9 @@
         .Field("store_reachable", m_peers.self().store_reachable);
     m_config_watcher->SetWatchesLatest(watches_latest);
     m_replica_watcher->SetWatchesLatest(watches_latest);
+    if (m_evacuation_watch) {
+      m_evacuation_watch->SetWatchesLatest(watches_latest);
+    }
   }
   const size_t vms = EstimateFleetSize(view);
   if (vms == m_fleet_size) {
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -94,8 +94,9 @@
       bounds.NumberOr("warm_up_overshoot", settings.warm_up.overshoot, 0);
   settings.warm_up.slack =
       bounds.NumberOr("warm_up_slack", settings.warm_up.slack, 0);
-  settings.evacuation_bound = Millis(
-      bounds.NumberOr("evacuation_ms", settings.evacuation_bound.count(), 1));
+  if (bounds.Has("evacuation_ms")) {
+    settings.evacuation_bound = Millis(bounds.NumberOr("evacuation_ms", 1, 1));
+  }
   json.MergeError(bounds.Finish());
 }
 
--- a/tools/tanagervane-node/settings.h
+++ b/tools/tanagervane-node/settings.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -70,8 +71,9 @@
   Millis config_apply_bound{5000};
   QuotaBounds quota;
   WarmUpBounds warm_up;
-  /// Time within which nothing more is sent to an evacuated data centre.
-  Millis evacuation_bound{5000};
+  /// Time within which nothing more is sent to an evacuated data centre;
+  /// nullopt if data centres are never evacuated.
+  std::optional<Millis> evacuation_bound;
   /// Whether the whole system starts for the first time, so that no earlier
   /// process has used any limit.
   bool first_start = false;
--- a/unittests/serving/replica_chooser_test.cc
+++ b/unittests/serving/replica_chooser_test.cc
@@ -195,6 +195,38 @@
   EXPECT_LT(estimate(Millis(1)), usual * 1.1);
 }
 
+// Guards against attempts, hedges and retries to replicas of an evacuated data
+// centre, also to those that register later, and against replicas that stay
+// unused or are used at once in full afterwards.
+TEST_F(ReplicaChooserTest, EvacuatedReplicasAreNotChosen) {
+  AddReplicas();
+  const auto place = [this](const char* id, const char* data_centre) {
+    ReplicaRegistration registration = MakeRegistration(id);
+    registration.slots = 5;
+    registration.data_centre = data_centre;
+    m_set.Apply(registration, Millis(0));
+  };
+  place("a", "dc1");
+  place("b", "dc2");
+  place("c", "dc1");
+  m_set.SetEvacuated({"dc1"}, Millis(0));
+  place("d", "dc1");
+  const auto counts = CountChoices(m_chooser, Millis(0));
+  EXPECT_EQ(counts.size(), 1u);
+  EXPECT_TRUE(counts.contains("b"));
+  const ServingReplica* chosen[] = {&GetReplica("b")};
+  EXPECT_EQ(
+      m_chooser.Choose(m_set.GetService("s"), kProfile, chosen, Millis(0)),
+      nullptr);
+  m_set.SetEvacuated({}, Millis(0));
+  const auto estimate = [&](const char* id, Millis now) {
+    return m_chooser.Estimate(GetReplica(id), kProfile, now).total;
+  };
+  EXPECT_GT(estimate("a", Millis(0)), estimate("b", Millis(0)));
+  EXPECT_EQ(estimate("a", Millis(5000)), estimate("b", Millis(5000)));
+  EXPECT_EQ(CountChoices(m_chooser, Millis(5000)).size(), 4u);
+}
+
 // Guards against VMs that all send to the same replica because it has the
 // lowest estimate in reports that are old, and against ignoring fresh reports.
 TEST_F(ReplicaChooserTest, OldReportsOfBusyReplicasSpreadChoices) {
