--- a/lib/serving/fair_shares.cc
+++ b/lib/serving/fair_shares.cc
@@ -92,7 +92,8 @@
   for (const auto& [name, tenant] : m_tenants) {
     demands.push_back({tenant.demand.PerSecond(now), tenant.weight});
   }
-  const std::vector<double> shares = MaxMinShares(demands, capacity * kSharedFraction);
+  const std::vector<double> shares =
+      MaxMinShares(demands, capacity * kSharedFraction);
   size_t i = 0;
   for (auto& [name, tenant] : m_tenants) {
     const double demand = demands[i].per_second;
