--- a/integration/node_test_case.py
+++ b/integration/node_test_case.py
@@ -22,13 +22,14 @@
         # Bounds in the settings of nodes that are started, beside the usual.
         self.bounds = {}
 
-    def start_nodes(self, count, store_address=None, settings=None):
+    def start_nodes(self, count, store_address=None, settings=None,
+                    bounds=None):
         """Starts further nodes and waits until they are ready. They reach the
         store at another address if one is given. `settings` replaces settings
-        of the top level."""
+        of the top level; `bounds` are added to those in the settings."""
         first = len(self.nodes) + 1
         started = [Node(first + i, self.platform, self.folder, store_address,
-                        settings, self.bounds)
+                        settings, {**self.bounds, **(bounds or {})})
                    for i in range(count)]
         for node in started:
             self.addCleanup(node.stop)
--- a/lib/fleet/revision_gossip.cc
+++ b/lib/fleet/revision_gossip.cc
@@ -1,8 +1,7 @@
 #include "tanagervane/fleet/revision_gossip.h"
 
-#include <cmath>
-
 #include "gossip_bytes.h"
+#include "report_bytes.h"
 #include "tanagervane/support/error.h"
 
 namespace tanagervane {
@@ -15,20 +14,6 @@
 /// First byte of a message that states an era.
 constexpr char kEraGossipTag = 'E';
 
-void AppendReport(std::string& bytes, const RevisionReport& report) {
-  AppendVarint(bytes, report.revision);
-  // Rounded down: a change must not seem older than it is, or a replica would
-  // be retired before its registration could return.
-  AppendVarint(bytes, static_cast<uint64_t>(std::floor(report.age.count())));
-}
-
-RevisionReport ReadReport(GossipReader& reader) {
-  RevisionReport report;
-  report.revision = reader.ReadVarint();
-  report.age = Millis(static_cast<double>(reader.ReadVarint()));
-  return report;
-}
-
 }  // namespace
 
 bool IsRevisionGossip(std::string_view bytes) {
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -28,6 +28,10 @@
 constexpr Millis kWatchRoleDelay{1500};
 constexpr Millis kWatchRoleDelayAtFirstStart{4000};
 
+/// A store that does not list evacuations delays the start by this much at
+/// most.
+constexpr Millis kEvacuationListTimeout{2000};
+
 /// A replica change that another VM has seen counts as missed when it does not
 /// arrive within this time after the time for which changes are batched.
 constexpr Millis kChangeDelayMargin{400};
@@ -192,7 +196,22 @@
                          .stale_reads = stale},
       ReplicaHooks(), seed);
   OnMembershipChange();
-  m_config_watcher->Start();
+  if (m_settings.evacuation_bound) {
+    // Requests are served once a configuration is known, so the configuration
+    // is read only when it is known which replicas may be used.
+    m_evacuation_watch = std::make_unique<EvacuationWatch>(
+        StoreHooks(StoreKind::kEvacuations), stale, seed, m_replicas,
+        [this] { m_config_watcher->Start(); });
+    m_evacuation_watch->Start();
+    m_loop.RunAfter(kEvacuationListTimeout, [this] {
+      if (!m_evacuation_watch->known()) {
+        LogEvent("evacuations_unknown").Field("serving", true);
+        m_config_watcher->Start();
+      }
+    });
+  } else {
+    m_config_watcher->Start();
+  }
   m_replica_watcher->Start();
   m_registry.Start(Poller::Now());
   m_loop.RunEvery(kTimeoutCheckInterval, [this] { EnforceTimeouts(); });
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -35,6 +35,7 @@
 #include "tanagervane/state/revision_times.h"
 #include "tanagervane/support/random.h"
 #include "tools/tanagervane-node/client_guard.h"
+#include "tools/tanagervane-node/evacuation_watch.h"
 #include "tools/tanagervane-node/request_log.h"
 #include "tools/tanagervane-node/settings.h"
 
@@ -190,6 +191,8 @@
   std::unique_ptr<StoreClient> m_store;
   std::unique_ptr<KindWatcher> m_config_watcher;
   std::unique_ptr<KindWatcher> m_replica_watcher;
+  /// Null if data centres are never evacuated.
+  std::unique_ptr<EvacuationWatch> m_evacuation_watch;
   /// When changes of the configuration and of the registrations were first
   /// seen in the fleet.
   RevisionTimes m_config_times;
--- a/tools/tanagervane-node/node_era.cc
+++ b/tools/tanagervane-node/node_era.cc
@@ -30,6 +30,9 @@
   }
   m_config_watcher->OnEra(era);
   m_replica_watcher->OnEra(era);
+  if (m_evacuation_watch) {
+    m_evacuation_watch->OnEra(era);
+  }
 }
 
 RevisionGossip Node::MakeRevisionGossip(Millis now) {
--- a/tools/tanagervane-node/node_metrics.cc
+++ b/tools/tanagervane-node/node_metrics.cc
@@ -153,6 +153,10 @@
   SetListenerCounters(metrics, "readiness", m_readiness_listener.stats());
   SetListenerCounters(metrics, "directory", m_directory_listener.stats());
   SetListenerCounters(metrics, "metrics", m_metrics_listener.stats());
+  set_gauge("tanagervane_evacuated_replicas",
+            "Replicas that get no requests because their data centre is "
+            "evacuated.",
+            static_cast<double>(m_replicas.CountEvacuated()));
   set_gauge("tanagervane_config_version",
             "Version of the configuration in force.",
             static_cast<double>(m_peers.self().document_revision));
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -99,6 +99,17 @@
       .on_other_datagram =
           [this](std::string_view bytes, const std::string& source) {
             return OnProofDatagram(bytes, source);
+          },
+      .make_evacuation_gossip =
+          [this](Millis now) {
+            return m_evacuation_watch ? m_evacuation_watch->MakeGossip(now)
+                                      : EvacuationGossip();
+          },
+      .on_evacuation_gossip =
+          [this](const EvacuationGossip& message) {
+            if (m_evacuation_watch) {
+              m_evacuation_watch->OnGossip(message, Poller::Now());
+            }
           }};
 }
 
@@ -328,6 +339,9 @@
         .Field("store_reachable", m_peers.self().store_reachable);
     m_config_watcher->SetWatchesLatest(watches_latest);
     m_replica_watcher->SetWatchesLatest(watches_latest);
+    if (m_evacuation_watch) {
+      m_evacuation_watch->SetWatchesLatest(watches_latest);
+    }
   }
   m_newer_config_known =
       std::ranges::any_of(peers, [this](const PeerTable::Peer& peer) {
