Describe that a peer's greater version ends the renewal of a proof

The note, the section for operators and the comment of the directory delay still said that it voids the proof.

--- a/tools/tanagervane-node/node_proof.cc
+++ b/tools/tanagervane-node/node_proof.cc
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// A VM without a proof stays in the directories for this long, because a
-/// change of the configuration voids the proofs of all VMs for a moment.
+/// A VM without a proof stays in the directories for this long, so that a short
+/// loss does not make VMs leave and enter them in turn.
 constexpr Millis kLeaveDirectoryDelay{1000};
 
 /// Time between reads of a configuration that another VM has in force.
