--- a/tools/tanagervane-node/node_proof.cc
+++ b/tools/tanagervane-node/node_proof.cc
@@ -66,15 +66,14 @@
   m_proof.OnCallStarted(sent_at);
   m_proof_revision =
       std::max(m_proof_revision, m_config_watcher->watch_revision());
-  m_store->Watch(
-      StoreKind::kConfig,
-      {.revision = m_proof_revision,
-       .freshness = Freshness::kLatest,
-       .wait = false},
-      [this, era = m_store->era(), sent_at](StoreResult result,
-                                            const StoreEvents& events) {
-        OnProofEvents(result, events, era, sent_at);
-      });
+  m_store->Watch(StoreKind::kConfig,
+                 {.revision = m_proof_revision,
+                  .freshness = Freshness::kLatest,
+                  .wait = false},
+                 [this, era = m_store->era(), sent_at](
+                     StoreResult result, const StoreEvents& events) {
+                   OnProofEvents(result, events, era, sent_at);
+                 });
 }
 
 void Node::OnProofEvents(StoreResult result,
