--- a/tools/tanagervane-node/node_proof.cc
+++ b/tools/tanagervane-node/node_proof.cc
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// A VM without a proof stays in the directories for this long, because a
-/// change of the configuration voids the proofs of all VMs for a moment.
+/// A VM without a proof stays in the directories for this long, so that a short
+/// loss does not make VMs leave and enter them in turn.
 constexpr Millis kLeaveDirectoryDelay{1000};
 
 /// Time between reads of a configuration that another VM has in force.
@@ -66,15 +66,14 @@
   m_proof.OnCallStarted(sent_at);
   m_proof_revision =
       std::max(m_proof_revision, m_config_watcher->watch_revision());
-  m_store->Watch(
-      StoreKind::kConfig,
-      {.revision = m_proof_revision,
-       .freshness = Freshness::kLatest,
-       .wait = false},
-      [this, era = m_store->era(), sent_at](StoreResult result,
-                                            const StoreEvents& events) {
-        OnProofEvents(result, events, era, sent_at);
-      });
+  m_store->Watch(StoreKind::kConfig,
+                 {.revision = m_proof_revision,
+                  .freshness = Freshness::kLatest,
+                  .wait = false},
+                 [this, era = m_store->era(), sent_at](
+                     StoreResult result, const StoreEvents& events) {
+                   OnProofEvents(result, events, era, sent_at);
+                 });
 }
 
 void Node::OnProofEvents(StoreResult result,
