Give the tenants of an overload test their keys

Cause: requests of tenants without a known key are rejected since identity and precedence were merged, so the test saw no request served. Change: the test's tenants have keys, which its requests present.

--- a/unittests/serving/overload_simulation.h
+++ b/unittests/serving/overload_simulation.h
@@ -144,11 +144,11 @@
       request->target = light ? kLightTarget : "/x";
       request->time_left = kCallerTimeout;
       if (m_pick_tenant) {
-        request->tenant = m_pick_tenant(m_random);
-        submitted.tenant = request->tenant;
-        m_tenant_results[request->tenant].counted += submitted.counted ? 1 : 0;
+        submitted.tenant = m_pick_tenant(m_random);
+        m_tenant_results[submitted.tenant].counted += submitted.counted ? 1 : 0;
       }
-      m_dispatcher.Submit(m_last_key, request, m_now);
+      // The key of a tenant is its name.
+      m_dispatcher.Submit(m_last_key, request, m_now, {1, submitted.tenant});
     }
     RunUntil(m_now + kCallerTimeout);
   }
@@ -157,7 +157,7 @@
   /// equal.
   void UseRandomArrivals() { m_random_arrivals = true; }
 
-  /// Sets how the tenant of each request is drawn.
+  /// Sets how the tenant of each request is drawn. Its key is its name.
   void SetTenants(std::function<std::string(Random&)> pick_tenant) {
     m_pick_tenant = std::move(pick_tenant);
   }
--- a/unittests/serving/precedence_test.cc
+++ b/unittests/serving/precedence_test.cc
@@ -194,6 +194,7 @@
     for (size_t i = 0; i < kTenants; ++i) {
       TenantSpec tenant;
       tenant.name = TenantName(i);
+      tenant.keys = {tenant.name};
       tenant.rate = 1.6 * 100 * demands[i];
       config.tenants.push_back(tenant);
     }
