Test the grace time of registrations that a restore lost

A registration that another VM saw missing earlier must still get the full grace time after a restore. The test passes with the program as it is.

--- a/unittests/serving/replica_set_test.cc
+++ b/unittests/serving/replica_set_test.cc
@@ -231,6 +231,18 @@
   EXPECT_EQ(m_retired, std::vector<std::string>{"gone@1"});
 }
 
+// Guards against retiring live replicas whose registrations were lost with the
+// restore of the store, and are seen to be missing by another VM first.
+TEST_F(ReplicaSetTest, LostRegistrationsMayReturnAfterARestore) {
+  m_set.Apply(MakeRegistration("r"), Millis(0));
+  m_set.OnStoreRestored(Millis(5000));
+  m_set.ApplyList({}, Millis(4000), Millis(5000));
+  m_set.RetireLapsed(Millis(6900));
+  EXPECT_EQ(ReplicasInUse(), 1u);
+  m_set.RetireLapsed(Millis(7300));
+  EXPECT_EQ(ReplicasInUse(), 0u);
+}
+
 // Guards against using a draining replica after its registration was removed.
 TEST_F(ReplicaSetTest, DrainingReplicaIsRetiredOnRemoval) {
   ReplicaRegistration registration = MakeRegistration("r");
