Translate the platform's bounds in platform/

Change: the template passes the bounds as a whole, and platform/bounds_codec translates those that are stated. The first start is not passed; its only use, a longer delay before a VM watches the latest state, applies to settings files that state it. The fleet's rate limits use the common clock.

--- a/tools/tanagervane-node/node_quota.cc
+++ b/tools/tanagervane-node/node_quota.cc
@@ -1,32 +1,16 @@
 // Rate limits of tenants over the fleet.
 
-#include <ctime>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "fmt/format.h"
+#include "tanagervane/support/boot_clock.h"
 #include "tanagervane/support/log.h"
 #include "tools/tanagervane-node/node.h"
 
 namespace tanagervane {
 
-namespace {
-
-constexpr double kMillisPerSecond = 1000;
-constexpr double kNanosPerMilli = 1e6;
-
-/// The time of a clock that counts the time in which the machine is suspended.
-/// A lease or a permit must not outlive its term over a suspension.
-Millis BootNow() {
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return Millis(static_cast<double>(time.tv_sec) * kMillisPerSecond +
-                static_cast<double>(time.tv_nsec) / kNanosPerMilli);
-}
-
-}  // namespace
-
 std::unique_ptr<FleetQuota> Node::MakeQuota(uint64_t incarnation) {
   FleetQuotaHooks hooks;
   hooks.send = [this](std::string_view vm, const QuotaMessage& message) {
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "fmt/format.h"
+#include "platform/bounds_codec.h"
 #include "tanagervane/net/socket.h"
 #include "tanagervane/support/error.h"
 #include "tanagervane/support/json_object.h"
@@ -42,6 +43,18 @@
   }
 }
 
+/// Adds the bounds that the platform states to those of the settings, which
+/// take precedence.
+void MergePlatformBounds(nlohmann::json& json) {
+  if (!json.is_object() || !json.contains("platform_bounds")) {
+    return;
+  }
+  nlohmann::json bounds = TranslateBounds(json["platform_bounds"]);
+  bounds.update(json.value("bounds", nlohmann::json::object()));
+  json["bounds"] = std::move(bounds);
+  json.erase("platform_bounds");
+}
+
 /// Reads a limit of the machine, which the platform may state as a fraction.
 size_t ReadMachineLimit(JsonObject& json,
                         const std::string& key,
@@ -145,6 +158,7 @@
     return parsed.status();
   }
   RemoveNullMembers(*parsed);
+  MergePlatformBounds(*parsed);
   JsonObject json(*std::move(parsed), "");
   NodeSettings settings;
   settings.id = json.String("id");
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -5,6 +5,7 @@
 
 #include "gtest/gtest.h"
 #include "nlohmann/json.hpp"
+#include "platform/bounds_codec.h"
 #include "platform/caller_codec.h"
 #include "platform/config_codec.h"
 #include "platform/object_codec.h"
@@ -74,6 +75,18 @@
   EXPECT_EQ(config->tenants[1].rate, 0);
 }
 
+// Guards against bounds of the platform that do not reach the settings, and
+// against deployments that state only some of them.
+TEST(BoundsCodecTest, BoundsAreTranslated) {
+  const json bounds = TranslateBounds({{"strictRevoke", true},
+                                       {"revokeMs", 5000},
+                                       {"quotaWindowS", nullptr},
+                                       {"drainMs", 3000}});
+  EXPECT_EQ(bounds,
+            json({{"strict_revocation", true}, {"revocation_ms", 5000}}));
+  EXPECT_TRUE(TranslateBounds(nullptr).empty());
+}
+
 // An invalid configuration must be rejected as a whole.
 TEST(ConfigCodecTest, MissingOrMistypedFieldsNameTheirPath) {
   json spec = ConfigJson();
