Order refusals by precedence only where tenants have limits

Cause: the order of refusals under overload was in force by default, but deployments that ask for nothing new must be served as before. A merge had also left a syntax error in integration/platform_cluster.py, so no process test ran. Change: precedence is on where the settings bound the requests of tenants, or where the policy says so. The tenant's priority counts without it, too.

--- a/include/tanagervane/serving/replica_chooser.h
+++ b/include/tanagervane/serving/replica_chooser.h
@@ -49,7 +49,7 @@
   bool even_load = true;
   /// Refuses requests under overload in the order of their priority, of the
   /// share of their tenant and of what callers gain; see precedence.h.
-  bool precedence = true;
+  bool precedence = false;
 };
 
 /// Whether an attempt can be sent to a replica.
--- a/integration/platform_cluster.py
+++ b/integration/platform_cluster.py
@@ -40,8 +40,8 @@
                 "bounds": {"stop_grace_s": 3, "retry_ratio": 0.2,
                            "retry_slack": 100, "retry_window_s": 10,
                            **(bounds or {})},
-                "policy": {"address_lifetime_ms": 200}, **(settings or {})},
-                      file)
+                "policy": {"address_lifetime_ms": 200}},
+                **(settings or {})}, file)
         self.process = None
         # Until this time a test fault may make answers slow.
         self.slow_allowed_until = 0
--- a/lib/serving/dispatcher_admission.cc
+++ b/lib/serving/dispatcher_admission.cc
@@ -202,7 +202,11 @@
                            Millis now) {
   const RouteSpec& spec = request.route->spec;
   if (!m_options.policy.precedence) {
-    return MaxWaitOf(spec.priority, spec.objective);
+    const uint32_t priority =
+        request.tenant != nullptr
+            ? request.tenant->priority.value_or(spec.priority)
+            : spec.priority;
+    return MaxWaitOf(priority, spec.objective);
   }
   const Millis median = request.route->stats->attempt_latency.median();
   return m_precedence.MaxWait({.route = spec,
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -113,7 +113,11 @@
   json.MergeError(bounds.Finish());
 }
 
-void ReadPolicy(JsonObject& json, NodeSettings& settings) {
+/// `has_tenant_limits`: the settings bound the requests of tenants, so callers
+/// compete for capacity by priority and tenant.
+void ReadPolicy(JsonObject& json,
+                bool has_tenant_limits,
+                NodeSettings& settings) {
   JsonObject policy = json.ObjectOrEmpty("policy");
   settings.policy.hedging = policy.BooleanOr("hedging", true);
   settings.policy.reported_load = policy.BooleanOr("reported_load", true);
@@ -128,7 +132,8 @@
   settings.policy.cancel_failed = policy.BooleanOr("cancel_failed", true);
   settings.policy.local_first = policy.BooleanOr("local_first", true);
   settings.policy.even_load = policy.BooleanOr("even_load", true);
-  settings.policy.precedence = policy.BooleanOr("precedence", true);
+  settings.policy.precedence =
+      policy.BooleanOr("precedence", has_tenant_limits);
   settings.stale_reads = policy.BooleanOr("stale_reads", true);
   settings.address_lifetime = Millis(policy.NumberOr(
       "address_lifetime_ms", settings.address_lifetime.count(), 1));
@@ -159,6 +164,10 @@
   }
   RemoveNullMembers(*parsed);
   MergePlatformBounds(*parsed);
+  const bool has_tenant_limits =
+      parsed->is_object() && parsed->contains("bounds") &&
+      parsed->at("bounds").is_object() &&
+      parsed->at("bounds").contains("quota_window_s");
   JsonObject json(*std::move(parsed), "");
   NodeSettings settings;
   settings.id = json.String("id");
@@ -171,7 +180,7 @@
   settings.first_start = json.BooleanOr("first_start", false);
   ReadListeners(json, settings);
   ReadBounds(json, settings);
-  ReadPolicy(json, settings);
+  ReadPolicy(json, has_tenant_limits, settings);
   CheckAddresses(json, settings);
   if (const absl::Status status = json.Finish(); !status.ok()) {
     return status;
