Take the latest-watch role only 4 s after the start

Cause: with a delay of 1.5 s, the VMs of a fleet that starts at once do not know each other yet, and several of them take the role. What keeps a configuration in force after a restart remains: the first list of the configuration is a latest read, and other VMs take the role from a process that has just started.

--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -22,11 +22,10 @@
 /// Time between reads of the list of VMs.
 constexpr Millis kVmListInterval{15'000};
 
-/// A process decides this long after its start whether it must watch the latest
-/// state of the store, because it does not know the other VMs earlier. When the
-/// whole system starts for the first time, the list of VMs is still incomplete.
-constexpr Millis kWatchRoleDelay{1500};
-constexpr Millis kWatchRoleDelayAtFirstStart{4000};
+/// A VM decides only this long after its start whether it must watch the latest
+/// state of the store. Earlier it does not know the other VMs, and when many
+/// start at once each of them would watch and check that the store answers.
+constexpr Millis kWatchRoleDelay{4000};
 
 /// A store that does not list evacuations delays the start by this much at
 /// most.
@@ -136,9 +135,7 @@
       m_proof_questions(std::random_device()()),
       m_proof_random(incarnation),
       m_started_at(Poller::Now()),
-      m_watch_role(m_started_at,
-                   m_settings.first_start ? kWatchRoleDelayAtFirstStart
-                                          : kWatchRoleDelay) {
+      m_watch_role(m_started_at, kWatchRoleDelay) {
   m_settings.retries.full_slack_from = m_started_at + m_settings.retries.window;
   m_poller.SetAlarmHook([this] {
     m_dispatcher.OnTick(Poller::Now());
--- a/tools/tanagervane-node/settings.cc
+++ b/tools/tanagervane-node/settings.cc
@@ -177,7 +177,6 @@
       ReadMachineLimit(json, "max_descriptors", settings.max_descriptors, 64);
   settings.memory_mb =
       ReadMachineLimit(json, "memory_mb", settings.memory_mb, 16);
-  settings.first_start = json.BooleanOr("first_start", false);
   ReadListeners(json, settings);
   ReadBounds(json, settings);
   ReadPolicy(json, has_tenant_limits, settings);
--- a/tools/tanagervane-node/settings.h
+++ b/tools/tanagervane-node/settings.h
@@ -60,9 +60,6 @@
   /// Time within which nothing more is sent to an evacuated data centre;
   /// nullopt if data centres are never evacuated.
   std::optional<Millis> evacuation_bound;
-  /// Whether the whole system starts for the first time, so that no earlier
-  /// process has used any limit.
-  bool first_start = false;
 };
 
 /// Parses JSON with comments. Fails with kInvalidRequest and the path of the
