Let a restarted VM take up the latest-watch role after 1.5 s

When all processes are killed, nobody watches the latest state for these 4 s, and a VM counts as undisrupted after them. Change: a VM whose registration is in the store when it starts was part of the fleet before and knows the others from the list of VMs, so it decides after 1.5 s. New VMs wait for 4 s as before. Measured: test_changes_after_all_processes_were_killed failed on (requests from 4.06 s after the start on) and passes.

--- a/include/tanagervane/fleet/latest_watchers.h
+++ b/include/tanagervane/fleet/latest_watchers.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERVANE_FLEET_LATEST_WATCHERS_H_
 #define TANAGERVANE_FLEET_LATEST_WATCHERS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -33,6 +34,9 @@
   LatestWatchRole(Millis started_at, Millis delay)
       : m_settled_at(started_at + delay) {}
 
+  /// Ends the delay at `time` if that is earlier.
+  void SettleBy(Millis time) { m_settled_at = std::min(m_settled_at, time); }
+
   /// Returns what this VM must watch now. The leader is the alive VM with the
   /// lowest id of all. Call it in each gossip round.
   WatchRole Update(const PeerRecord& self,
--- a/include/tanagervane/fleet/vm_registry.h
+++ b/include/tanagervane/fleet/vm_registry.h
@@ -47,6 +47,9 @@
   std::function<bool(std::string_view id)> is_live;
   /// All pages of the list have been read.
   std::function<void()> on_list_read;
+  /// The first registration found one of an earlier process of this VM, so the
+  /// VMs of the fleet know each other from the list.
+  std::function<void()> on_registered_before;
   /// The registration failed and will be retried.
   std::function<void()> on_register_failed;
 };
@@ -108,6 +111,7 @@
   VmRegistryHooks m_hooks;
   bool m_deregistered = false;
   bool m_registering = false;
+  bool m_registered_once = false;
   /// The write in flight must be followed by another one.
   bool m_register_again = false;
   /// When this VM was last registered.
--- a/integration/test_stale_reads.py
+++ b/integration/test_stale_reads.py
@@ -13,6 +13,10 @@
 # start.
 ROLES_S = 4.5
 ROUNDS = 3
+# Processes that were killed start again this long after.
+RESTART_S = 0.6
+# A process that has run for so long must know changes in time.
+STABILITY_S = 4
 BURST = 16
 
 
@@ -48,6 +52,36 @@
                     if at > removed_at + DRAIN_S]
             self.assertEqual(late, [], replica.name)
 
+    def test_changes_after_all_processes_were_killed(self):
+        """Guards against the first seconds after all processes were killed, in
+        which none watches the latest state (review/7): requests reach a replica
+        that was removed then."""
+        self.platform.store.stale_s = 2 * STALE_S
+        leaving = self.platform.replicas["desk"][0]
+        for replica in self.platform.replicas["desk"]:
+            replica.slots = 1
+            replica.work_ms = 300
+            replica.register()
+        time.sleep(2 * STALE_S)
+        self.start_nodes(2)
+        wait_for_fleet(self.nodes)
+        time.sleep(ROLES_S)
+        for node in self.nodes:
+            node.process.kill()
+            node.process.wait()
+        time.sleep(RESTART_S)
+        for node in self.nodes:
+            node.start()
+        started_at = time.monotonic()
+        time.sleep(0.5)
+        self.platform.store.delete("servers", leaving.name)
+        time.sleep(started_at + STABILITY_S + 0.05 - time.monotonic())
+        for node in self.nodes:
+            self.burst(node)
+        late = [at - started_at for at in leaving.arrival_times
+                if at > started_at + STABILITY_S]
+        self.assertEqual(late, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/lib/fleet/vm_registry.cc
+++ b/lib/fleet/vm_registry.cc
@@ -113,6 +113,9 @@
     if (result == WriteResult::kConflict) {
       // The previous process of this VM left its registration. Replacing it
       // changes nothing when the address is the same.
+      if (!m_registered_once) {
+        m_hooks.on_registered_before();
+      }
       m_hooks.replace(
           [this, now](WriteResult replaced) { OnRegistered(replaced, now); });
       return;
@@ -128,6 +131,7 @@
     return;
   }
   m_registering = false;
+  m_registered_once = true;
   if (std::exchange(m_register_again, false)) {
     Register(now);
     return;
--- a/tools/tanagervane-node/node.cc
+++ b/tools/tanagervane-node/node.cc
@@ -24,7 +24,8 @@
 
 /// A VM decides only this long after its start whether it must watch the latest
 /// state of the store. Earlier it does not know the other VMs, and when many
-/// start at once each of them would watch and check that the store answers.
+/// start at once each of them would watch and check that the store answers. A
+/// VM that was registered before its start knows the others sooner.
 constexpr Millis kWatchRoleDelay{4000};
 
 /// A store that does not list evacuations delays the start by this much at
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -309,6 +309,9 @@
     return peer && peer->liveness != Liveness::kDead;
   };
   hooks.on_list_read = [this] { OnRegistryRead(); };
+  hooks.on_registered_before = [this] {
+    m_watch_role.SettleBy(m_started_at + kGossipConvergenceTime);
+  };
   hooks.on_register_failed = [] {
     LogEvent("vm_registration_failed").Field("retry", true);
   };
--- a/unittests/fleet/latest_watchers_test.cc
+++ b/unittests/fleet/latest_watchers_test.cc
@@ -97,6 +97,24 @@
   }
 }
 
+// Guards against a role that nobody holds in the first seconds after all
+// processes were killed: a VM that knows the others from the list settles
+// sooner.
+TEST(LatestWatchRoleTest, KnownFleetSettlesSooner) {
+  const std::vector<PeerTable::Peer> others = {
+      {Record("a2", "a"), Liveness::kAlive, {}}};
+  LatestWatchRole role(Millis(0), Millis(4000));
+  const auto watches = [&](Millis now) {
+    return role.Update(Record("a1", "a"), others, now) != WatchRole::kNone;
+  };
+  EXPECT_FALSE(watches(Millis(250)));
+  role.SettleBy(Millis(1500));
+  EXPECT_FALSE(watches(Millis(1250)));
+  EXPECT_TRUE(watches(Millis(1500)));
+  role.SettleBy(Millis(5000));
+  EXPECT_TRUE(watches(Millis(1750)));
+}
+
 // Guards against checks by the watchers of all data centres, each of which
 // costs the store a read of the latest state, and against checks by none.
 TEST(LatestWatchRoleTest, OneWatcherLeadsTheFleet) {
--- a/unittests/fleet/vm_registry_test.cc
+++ b/unittests/fleet/vm_registry_test.cc
@@ -56,6 +56,7 @@
       return m_live.contains(std::string(vm));
     };
     hooks.on_list_read = [] {};
+    hooks.on_registered_before = [this] { ++m_registered_before; };
     hooks.on_register_failed = [this] { ++m_register_failures; };
     return std::make_unique<VmRegistry>(id, std::move(hooks));
   }
@@ -91,6 +92,7 @@
   std::deque<std::function<void()>> m_calls;
   std::deque<std::function<void()>> m_tasks;
   bool m_store_unavailable = false;
+  size_t m_registered_before = 0;
   size_t m_register_failures = 0;
   size_t m_latest_reads = 0;
 };
@@ -127,6 +129,23 @@
   EXPECT_TRUE(m_objects.contains("vm"));
 }
 
+// Guards against a restarted VM that counts as new, and against a new one that
+// counts as restarted because it registers again.
+TEST_F(VmRegistryTest, EarlierRegistrationIsReportedOnce) {
+  const auto registry = MakeRegistry("vm");
+  registry->Start(Millis(0));
+  RunCalls();
+  registry->RegisterAgain(Millis(20'000));
+  RunCalls();
+  EXPECT_EQ(m_registered_before, 0u);
+  const auto restarted = MakeRegistry("vm");
+  restarted->Start(Millis(30'000));
+  RunCalls();
+  restarted->RegisterAgain(Millis(50'000));
+  RunCalls();
+  EXPECT_EQ(m_registered_before, 1u);
+}
+
 // Guards against a VM that stays unregistered after the store was restored from
 // a copy without its registration, also if a write was in flight at that time.
 TEST_F(VmRegistryTest, RegistersAgainWhenAskedTo) {
