Count the grace time of removals from the first VM that saw them

Change: the grace time always counts from the first VM that saw the removal. Apart from that, a replica whose registration is missing is kept until 2.2 s after the store's return, as before. Measured: RemovalSoonAfterAnOutageIsRetiredWithinTheDrainTimeout fails without the change and passes; 143 tests of serving_unittests pass.

--- a/include/tanagervane/serving/replica_set.h
+++ b/include/tanagervane/serving/replica_set.h
@@ -240,11 +240,11 @@
   bool ShouldVerifyLapse(Millis now);
 
   /// Sets whether the store is reachable. While it is not, no lapsed replica is
-  /// retired; for some time after its return, the full grace time applies.
+  /// retired, nor for some time after its return.
   void SetStoreReachable(bool reachable, Millis now);
 
   /// Called when the store was restored from an earlier copy: registrations
-  /// that it lost are written again, so the full grace time applies to them.
+  /// that it lost are written again, as after an outage.
   void OnStoreRestored(Millis now) { m_store_reachable_since = now; }
 
   /// Retires replicas whose registration lapsed and did not come back within
@@ -262,10 +262,10 @@
 
   void Add(const ReplicaRegistration& registration, Millis now);
   void Retire(Replicas::iterator it, std::string_view reason);
-  /// Whether the store is unreachable or has only just returned.
-  bool IsStoreUnstable(Millis now) const;
-  /// How long a replica stays in use after its registration lapsed.
-  Millis LapseGrace(Millis now) const;
+  /// Until when a replica stays in use after its registration lapsed: for a
+  /// grace time that is shorter than the drain timeout, and until registrations
+  /// that lapsed during an outage of the store must be back.
+  Millis LapseEnd(const ServingReplica& replica) const;
   /// Sets this VM's share of the service's connections and retry budget.
   void ApportionLimits(Service& service) const;
 
--- a/lib/serving/replica_set.cc
+++ b/lib/serving/replica_set.cc
@@ -22,10 +22,6 @@
 /// for a call of the store.
 constexpr Millis kLapseVerificationTime{250};
 
-/// How long after the store's return the full grace time applies to vanished
-/// registrations.
-constexpr Millis kStoreRecoveryTime{2500};
-
 /// How long replicas count as slow after the evacuation of their data centre
 /// ended, unless they state a longer warm-up.
 constexpr Millis kReturnWarmUp{3000};
@@ -221,7 +217,7 @@
     return;
   }
   if (!it->second->lapsed_at) {
-    it->second->lapsed_at = IsStoreUnstable(now) ? now : std::min(seen_at, now);
+    it->second->lapsed_at = std::min(seen_at, now);
   }
 }
 
@@ -245,12 +241,11 @@
 }
 
 bool ReplicaSet::ShouldVerifyLapse(Millis now) {
-  const Millis verify_after = LapseGrace(now) - kLapseVerificationTime;
   bool verify = false;
   for (const auto& [name, service] : m_services) {
     const auto is_due = [&](const std::shared_ptr<ServingReplica>& replica) {
       return replica->lapsed_at && !replica->lapse_verified &&
-             now - *replica->lapsed_at >= verify_after;
+             now >= LapseEnd(*replica) - kLapseVerificationTime;
     };
     const auto due = std::ranges::count_if(service->replicas, is_due);
     if (2 * static_cast<size_t>(due) <= service->replicas.size()) {
@@ -264,19 +259,14 @@
   return verify;
 }
 
-bool ReplicaSet::IsStoreUnstable(Millis now) const {
-  return !m_store_reachable ||
-         (m_store_reachable_since &&
-          now - *m_store_reachable_since < kStoreRecoveryTime);
-}
-
-Millis ReplicaSet::LapseGrace(Millis now) const {
-  if (IsStoreUnstable(now)) {
-    return kMaxLapseGrace;
-  }
+Millis ReplicaSet::LapseEnd(const ServingReplica& replica) const {
   const Millis left =
       m_drain_timeout * (1 - kBatchDelayFraction) - kRemovalPropagationDelay;
-  return std::clamp(left, Millis(0), kMaxLapseGrace);
+  const Millis end =
+      *replica.lapsed_at + std::clamp(left, Millis(0), kMaxLapseGrace);
+  return m_store_reachable_since
+             ? std::max(end, *m_store_reachable_since + kMaxLapseGrace)
+             : end;
 }
 
 void ReplicaSet::SetStoreReachable(bool reachable, Millis now) {
@@ -289,11 +279,9 @@
 void ReplicaSet::RetireLapsed(Millis now) {
   m_leaving.Expire(now);
   m_limits.Expire(now);
-  const Millis grace = LapseGrace(now);
   std::vector<std::string> lapsed;
   for (const auto& [id, replica] : m_replicas) {
-    if (replica->lapsed_at && m_store_reachable &&
-        now - *replica->lapsed_at >= grace) {
+    if (replica->lapsed_at && m_store_reachable && now >= LapseEnd(*replica)) {
       lapsed.push_back(id);
     }
   }
--- a/unittests/serving/replica_set_test.cc
+++ b/unittests/serving/replica_set_test.cc
@@ -243,6 +243,21 @@
   EXPECT_EQ(ReplicasInUse(), 0u);
 }
 
+// Guards against a grace time that begins anew when this VM reads a removal
+// shortly after the store has returned to it: the removal may have been
+// acknowledged by a stable store, and the replica only serves for the drain
+// timeout.
+TEST_F(ReplicaSetTest, RemovalSoonAfterAnOutageIsRetiredWithinTheDrainTimeout) {
+  m_set.SetDrainTimeout(Millis(3000));
+  m_set.Apply(MakeRegistration("r"), Millis(0));
+  m_set.SetStoreReachable(false, Millis(100));
+  m_set.SetStoreReachable(true, Millis(5000));
+  // Removed at 6200, seen by another VM one batch later.
+  m_set.Remove("r", Millis(6700), Millis(7400));
+  m_set.RetireLapsed(Millis(9200));
+  EXPECT_EQ(ReplicasInUse(), 0u);
+}
+
 // Guards against using a draining replica after its registration was removed.
 TEST_F(ReplicaSetTest, DrainingReplicaIsRetiredOnRemoval) {
   ReplicaRegistration registration = MakeRegistration("r");
