Watch the latest state on three VMs where data centres are few

Change: a fleet has at least three watchers, so two of each of two data centres and three of a single one. Nothing changes from three data centres on. Process tests that need a VM with stale reads start a fourth node, and unit tests that need one watcher for each data centre name three, so that they test what they did.

--- a/include/tanagervane/fleet/latest_watchers.h
+++ b/include/tanagervane/fleet/latest_watchers.h
@@ -17,10 +17,11 @@
 namespace tanagervane {
 
 /// Returns whether the VM `self` must watch the latest state of the store on
-/// behalf of the VMs with stale reads. In each data centre, this is the alive
-/// VM with the lowest id that reaches the store. VMs that disagree on liveness
-/// may both watch; that costs the store reads but loses no change. `peers` are
-/// the other VMs.
+/// behalf of the VMs with stale reads. In each data centre, these are the alive
+/// VMs with the lowest ids that reach the store: one, or more where the fleet
+/// has few data centres, so that some VMs still watch while others fail. VMs
+/// that disagree on liveness may watch as well; that costs the store reads but
+/// loses no change. `peers` are the other VMs.
 bool WatchesLatest(const PeerRecord& self,
                    std::span<const PeerTable::Peer> peers);
 
--- a/integration/test_evacuation.py
+++ b/integration/test_evacuation.py
@@ -86,7 +86,8 @@
         reads show it, and against a node that starts without knowing of it."""
         self.platform.store.stale_s = 8
         time.sleep(self.platform.store.stale_s)
-        self.start_nodes(3, bounds=BOUNDS)
+        # The first three watch the latest state, the fourth reads stale data.
+        self.start_nodes(4, bounds=BOUNDS)
         wait_for_fleet(self.nodes)
         time.sleep(WATCH_ROLE_S)
         self.evacuate("b")
@@ -94,7 +95,7 @@
         self.check_unused(self.nodes, "b")
         # A start later than the gossip about the change, while the stale state
         # does not show it.
-        node = self.nodes[2]
+        node = self.nodes[3]
         node.process.send_signal(signal.SIGKILL)
         node.process.wait()
         node.start()
--- a/integration/test_silent_store.py
+++ b/integration/test_silent_store.py
@@ -32,7 +32,7 @@
                           range(BURST)))
 
     def start(self, stale_s):
-        """Starts two nodes and returns a replica of "desk"."""
+        """Starts four nodes and returns a replica of "desk"."""
         self.platform.store.stale_s = stale_s
         self.platform.add_replicas("desk", 1)
         leaving = self.platform.replicas["desk"][0]
@@ -41,7 +41,8 @@
             replica.work_ms = 300
             replica.register()
         time.sleep(stale_s)
-        self.start_nodes(2)
+        # The first three watch the latest state, the fourth reads stale data.
+        self.start_nodes(4)
         wait_for_fleet(self.nodes)
         time.sleep(SETTLED_S)
         return leaving
--- a/integration/test_stale_reads.py
+++ b/integration/test_stale_reads.py
@@ -39,7 +39,8 @@
             replica.work_ms = 300
             replica.register()
         time.sleep(STALE_S)
-        self.start_nodes(2)
+        # The first three watch the latest state, the fourth reads stale data.
+        self.start_nodes(4)
         wait_for_fleet(self.nodes)
         time.sleep(ROLES_S)
         for replica in self.platform.replicas["desk"][:ROUNDS]:
@@ -63,7 +64,8 @@
             replica.work_ms = 300
             replica.register()
         time.sleep(2 * STALE_S)
-        self.start_nodes(2)
+        # The first three watch the latest state, the fourth reads stale data.
+        self.start_nodes(4)
         wait_for_fleet(self.nodes)
         time.sleep(ROLES_S)
         for node in self.nodes:
--- a/integration/test_store_era.py
+++ b/integration/test_store_era.py
@@ -43,7 +43,8 @@
     def play(self, stale_s):
         self.store.stale_s = stale_s
         time.sleep(stale_s)
-        self.start_nodes(2)
+        # The first three watch the latest state, the others read stale data.
+        self.start_nodes(4)
         wait_for_fleet(self.nodes)
         old_version = self.platform.version
         copy = self.store.copy()
@@ -61,7 +62,7 @@
         self.restore_and_write_again(copy, new_replica)
         self.assertLess(self.store.revision, revision)
         self.serve(self.nodes[0], 1)
-        wait_for(lambda: len(self.registered_vms()) == 3,
+        wait_for(lambda: len(self.registered_vms()) == 5,
                  "all nodes are registered again", REGISTERED_S)
         for node in self.nodes:
             wait_for(lambda node=node: "event=store_era era=2" in node.log(),
--- a/unittests/fleet/latest_watchers_test.cc
+++ b/unittests/fleet/latest_watchers_test.cc
@@ -38,26 +38,46 @@
 // Neither all VMs nor none may watch the latest state.
 TEST(LatestWatchersTest, OneVmOfEachDataCentreWatches) {
   std::vector<PeerTable::Peer> fleet;
-  for (const char* id : {"a1", "a2", "a3", "b1", "b2"}) {
+  for (const char* id : {"a1", "a2", "a3", "b1", "b2", "c1", "c2"}) {
     fleet.push_back({Record(id, std::string(1, id[0])), Liveness::kAlive, {}});
   }
-  EXPECT_EQ(Watchers(fleet), (Ids{"a1", "b1"}));
+  EXPECT_EQ(Watchers(fleet), (Ids{"a1", "b1", "c1"}));
+}
+
+// Guards against VMs that go by stale reads for seconds because the only VM
+// that watches is cut off from the store and has not noticed it.
+TEST(LatestWatchersTest, SeveralVmsWatchInFewDataCentres) {
+  std::vector<PeerTable::Peer> fleet;
+  for (const char* id : {"a1", "a2", "a3", "a4"}) {
+    fleet.push_back({Record(id, "a"), Liveness::kAlive, {}});
+  }
+  EXPECT_EQ(Watchers(fleet), (Ids{"a1", "a2", "a3"}));
+  for (const char* id : {"b1", "b2", "b3"}) {
+    fleet.push_back({Record(id, "b"), Liveness::kAlive, {}});
+  }
+  EXPECT_EQ(Watchers(fleet), (Ids{"a1", "a2", "b1", "b2"}));
+  // A data centre without a VM that reaches the store has no watchers.
+  for (size_t i = 0; i < 4; ++i) {
+    fleet[i].record.store_reachable = false;
+  }
+  EXPECT_EQ(Watchers({fleet.begin() + 4, fleet.end()}),
+            (Ids{"b1", "b2", "b3"}));
 }
 
 // A watcher that fails, leaves or loses the store must be replaced.
 TEST(LatestWatchersTest, AnotherVmReplacesAFailedWatcher) {
   std::vector<PeerTable::Peer> fleet;
-  for (const char* id : {"a1", "a2", "a3"}) {
-    fleet.push_back({Record(id, "a"), Liveness::kAlive, {}});
+  for (const char* id : {"a1", "a2", "a3", "b1", "c1"}) {
+    fleet.push_back({Record(id, std::string(1, id[0])), Liveness::kAlive, {}});
   }
   fleet[0].liveness = Liveness::kSuspected;
-  EXPECT_EQ(Watchers(fleet), (Ids{"a1", "a2"}))
+  EXPECT_EQ(Watchers(fleet), (Ids{"a1", "a2", "b1", "c1"}))
       << "a suspected VM may still watch";
   fleet[0].liveness = Liveness::kAlive;
   fleet[0].record.store_reachable = false;
-  EXPECT_EQ(Watchers(fleet), (Ids{"a1", "a2"}));
+  EXPECT_EQ(Watchers(fleet), (Ids{"a1", "a2", "b1", "c1"}));
   fleet[1].record.state = PeerState::kLeaving;
-  EXPECT_EQ(Watchers(fleet), (Ids{"a1", "a2", "a3"}));
+  EXPECT_EQ(Watchers(fleet), (Ids{"a1", "a2", "a3", "b1", "c1"}));
 }
 
 // Guards against a time in which no VM of a data centre watches, because the
@@ -65,7 +85,9 @@
 // (review/7).
 TEST(LatestWatchRoleTest, RestartedProcessTakesNoRole) {
   std::vector<PeerTable::Peer> others = {
-      {Record("a1", "a"), Liveness::kAlive, {}}};
+      {Record("a1", "a"), Liveness::kAlive, {}},
+      {Record("b1", "b"), Liveness::kAlive, {}},
+      {Record("c1", "c"), Liveness::kAlive, {}}};
   LatestWatchRole role(Millis(0), Millis(1500));
   const auto watches = [&](Millis now) {
     return role.Update(Record("a2", "a"), others, now) != WatchRole::kNone;
@@ -84,9 +106,10 @@
 TEST(LatestWatchRoleTest, FirstVmTakesTheRoleAfterACommonStart) {
   const std::vector<PeerTable::Peer> others = {
       {Record("a1", "a"), Liveness::kAlive, {}},
-      {Record("b1", "b"), Liveness::kAlive, {}}};
+      {Record("b1", "b"), Liveness::kAlive, {}},
+      {Record("c1", "c"), Liveness::kAlive, {}}};
   const std::vector<PeerTable::Peer> others_of_a1 = {
-      {Record("a2", "a"), Liveness::kAlive, {}}, others[1]};
+      {Record("a2", "a"), Liveness::kAlive, {}}, others[1], others[2]};
   LatestWatchRole a1(Millis(0), Millis(1500));
   LatestWatchRole a2(Millis(0), Millis(1500));
   for (int round = 1; round < 40; ++round) {
