Decode the frame of tagged gossip messages in one place

Change: DecodeTagged() holds the frame, the decoders what follows the sender. Messages and errors are the same.

--- a/lib/fleet/evacuation_gossip.cc
+++ b/lib/fleet/evacuation_gossip.cc
@@ -2,7 +2,7 @@
 
 #include "gossip_bytes.h"
 #include "report_bytes.h"
-#include "tanagervane/support/error.h"
+#include "tagged_message.h"
 
 namespace tanagervane {
 
@@ -28,19 +28,14 @@
 
 absl::StatusOr<EvacuationGossip> DecodeEvacuationGossip(
     std::string_view bytes) {
-  GossipReader reader(bytes);
-  const bool is_tagged = IsEvacuationGossip(bytes);
-  reader.ReadByte();
-  EvacuationGossip message;
-  message.sender = reader.ReadString();
-  message.era = reader.ReadVarint();
-  message.revisions = ReadItems(reader, ReadReport);
-  if (!is_tagged || !reader.ok() || !reader.at_end()) {
-    return MakeError(ErrorCode::kInvalidRequest,
-                     "malformed gossip message about evacuations",
-                     message.sender);
-  }
-  return message;
+  return DecodeTagged<EvacuationGossip>(
+      bytes, IsEvacuationGossip(bytes),
+      "malformed gossip message about evacuations",
+      [](GossipReader& reader, EvacuationGossip& message) {
+        message.era = reader.ReadVarint();
+        message.revisions = ReadItems(reader, ReadReport);
+        return true;
+      });
 }
 
 }  // namespace tanagervane
--- a/lib/fleet/proof_exchange.cc
+++ b/lib/fleet/proof_exchange.cc
@@ -4,7 +4,7 @@
 #include <cmath>
 
 #include "gossip_bytes.h"
-#include "tanagervane/support/error.h"
+#include "tagged_message.h"
 
 namespace tanagervane {
 
@@ -65,38 +65,28 @@
 }
 
 absl::StatusOr<ProofRequest> DecodeProofRequest(std::string_view bytes) {
-  GossipReader reader(bytes);
-  const bool is_tagged = IsProofRequest(bytes);
-  reader.ReadByte();
-  ProofRequest message;
-  message.sender = reader.ReadString();
-  message.nonce = reader.ReadFixed(kNonceBytes);
-  message.version = reader.ReadVarint();
-  if (!is_tagged || !reader.ok() || !reader.at_end()) {
-    return MakeError(ErrorCode::kInvalidRequest, "malformed question for proof",
-                     message.sender);
-  }
-  return message;
+  return DecodeTagged<ProofRequest>(
+      bytes, IsProofRequest(bytes), "malformed question for proof",
+      [](GossipReader& reader, ProofRequest& message) {
+        message.nonce = reader.ReadFixed(kNonceBytes);
+        message.version = reader.ReadVarint();
+        return true;
+      });
 }
 
 absl::StatusOr<ProofResponse> DecodeProofResponse(std::string_view bytes) {
-  GossipReader reader(bytes);
-  const bool is_tagged = IsProofResponse(bytes);
-  reader.ReadByte();
-  ProofResponse message;
-  message.sender = reader.ReadString();
-  message.nonce = reader.ReadFixed(kNonceBytes);
-  message.proof.config.era = reader.ReadVarint();
-  message.proof.config.revision = reader.ReadVarint();
-  message.proof.config.version = reader.ReadVarint();
-  if (const uint64_t age = reader.ReadVarint(); age > 0) {
-    message.proof.age = Millis(static_cast<double>(age - 1));
-  }
-  if (!is_tagged || !reader.ok() || !reader.at_end()) {
-    return MakeError(ErrorCode::kInvalidRequest, "malformed answer with proof",
-                     message.sender);
-  }
-  return message;
+  return DecodeTagged<ProofResponse>(
+      bytes, IsProofResponse(bytes), "malformed answer with proof",
+      [](GossipReader& reader, ProofResponse& message) {
+        message.nonce = reader.ReadFixed(kNonceBytes);
+        message.proof.config.era = reader.ReadVarint();
+        message.proof.config.revision = reader.ReadVarint();
+        message.proof.config.version = reader.ReadVarint();
+        if (const uint64_t age = reader.ReadVarint(); age > 0) {
+          message.proof.age = Millis(static_cast<double>(age - 1));
+        }
+        return true;
+      });
 }
 
 uint64_t ProofQuestions::Ask(Millis now) {
--- a/lib/fleet/replica_gossip.cc
+++ b/lib/fleet/replica_gossip.cc
@@ -5,7 +5,7 @@
 #include <cmath>
 
 #include "gossip_bytes.h"
-#include "tanagervane/support/error.h"
+#include "tagged_message.h"
 
 namespace tanagervane {
 
@@ -68,19 +68,13 @@
 }
 
 absl::StatusOr<ReplicaGossip> DecodeReplicaGossip(std::string_view bytes) {
-  GossipReader reader(bytes);
-  const bool is_tagged = IsReplicaGossip(bytes);
-  reader.ReadByte();
-  ReplicaGossip message;
-  message.sender = reader.ReadString();
-  message.leaving = ReadItems(reader, ReadIncarnation);
-  message.rate_limits = ReadItems(reader, ReadRateLimit);
-  if (!is_tagged || !reader.ok() || !reader.at_end() ||
-      !std::ranges::all_of(message.rate_limits, IsValid)) {
-    return MakeError(ErrorCode::kInvalidRequest,
-                     "malformed gossip message about replicas", message.sender);
-  }
-  return message;
+  return DecodeTagged<ReplicaGossip>(
+      bytes, IsReplicaGossip(bytes), "malformed gossip message about replicas",
+      [](GossipReader& reader, ReplicaGossip& message) {
+        message.leaving = ReadItems(reader, ReadIncarnation);
+        message.rate_limits = ReadItems(reader, ReadRateLimit);
+        return std::ranges::all_of(message.rate_limits, IsValid);
+      });
 }
 
 }  // namespace tanagervane
--- a/lib/fleet/revision_gossip.cc
+++ b/lib/fleet/revision_gossip.cc
@@ -2,7 +2,7 @@
 
 #include "gossip_bytes.h"
 #include "report_bytes.h"
-#include "tanagervane/support/error.h"
+#include "tagged_message.h"
 
 namespace tanagervane {
 
@@ -35,25 +35,19 @@
 }
 
 absl::StatusOr<RevisionGossip> DecodeRevisionGossip(std::string_view bytes) {
-  GossipReader reader(bytes);
-  const bool is_tagged = IsRevisionGossip(bytes);
-  const bool has_era =
-      reader.ReadByte() == static_cast<uint64_t>(kEraGossipTag);
-  RevisionGossip message;
-  message.sender = reader.ReadString();
-  if (has_era) {
-    message.era = reader.ReadVarint();
-    message.config_revision = reader.ReadVarint();
-    message.replica_revision = reader.ReadVarint();
-  }
-  message.config = ReadItems(reader, ReadReport);
-  message.replicas = ReadItems(reader, ReadReport);
-  if (!is_tagged || !reader.ok() || !reader.at_end()) {
-    return MakeError(ErrorCode::kInvalidRequest,
-                     "malformed gossip message about revisions",
-                     message.sender);
-  }
-  return message;
+  return DecodeTagged<RevisionGossip>(
+      bytes, IsRevisionGossip(bytes),
+      "malformed gossip message about revisions",
+      [&](GossipReader& reader, RevisionGossip& message) {
+        if (bytes.starts_with(kEraGossipTag)) {
+          message.era = reader.ReadVarint();
+          message.config_revision = reader.ReadVarint();
+          message.replica_revision = reader.ReadVarint();
+        }
+        message.config = ReadItems(reader, ReadReport);
+        message.replicas = ReadItems(reader, ReadReport);
+        return true;
+      });
 }
 
 }  // namespace tanagervane
