Retry one kind of objects on behalf of all while the store is unreachable

Cause: in an outage each VM lists each kind again after each backoff, and each call is priced, also a refused one. Change: while the configuration is unreachable, the other kinds make one retry of four and are listed as soon as the configuration is answered. The new unit test and the other 61 of state_unittests pass.

--- a/include/tanagervane/state/kind_watcher.h
+++ b/include/tanagervane/state/kind_watcher.h
@@ -30,6 +30,10 @@
   /// Runs a task after a delay.
   std::function<void(Millis delay, std::function<void()> task)> run_after;
   std::function<Millis()> now;
+  /// Whether to retry now while the store is unreachable. Another kind may be
+  /// retried on behalf of this one; RetryNow() then reports its success. Some
+  /// retries follow also without it, as only one kind may be unreadable.
+  std::function<bool()> may_retry = [] { return true; };
 
   /// Receives all objects after a complete list. All objects that are missing
   /// in it were deleted by `removal_revision`.
@@ -123,6 +127,9 @@
   /// nothing while the store is unreachable or a list is being read.
   void ReadNow();
 
+  /// Ends the wait for a retry while the store is unreachable.
+  void RetryNow();
+
   /// The store's revision of the latest change that this VM has seen.
   uint64_t last_change_revision() const { return m_last_change_revision; }
 
@@ -182,6 +189,8 @@
   void RelistAfterBackoff(StoreResult result);
   /// Lists again after a backoff that follows a failed call.
   void ScheduleRelist();
+  /// Lists again, or waits for another backoff if another kind is retried.
+  void Retry();
   void SetReachable(bool reachable, StoreResult result);
 
   KindWatcherOptions m_options;
@@ -205,6 +214,8 @@
   bool m_has_snapshot = false;
   bool m_reachable = true;
   Millis m_backoff;
+  /// Retries left out since the last one, because another kind is retried.
+  uint32_t m_skipped_retries = 0;
   /// The store's era. All revisions kept here belong to it.
   uint64_t m_era = 0;
   /// The highest era that another VM has reported.
--- a/lib/state/kind_watcher.cc
+++ b/lib/state/kind_watcher.cc
@@ -15,6 +15,9 @@
 /// before it began.
 constexpr Millis kPromptAnswerTime{200};
 
+/// Of so many retries in a row, one is made also while another kind is retried.
+constexpr uint32_t kRetriesPerOwnRetry = 4;
+
 /// The longest time for which no VM watches the latest state, until another one
 /// takes up the role of a VM that fails.
 constexpr Millis kMaxWatchGap{2000};
@@ -423,11 +426,27 @@
   ++m_generation;
   m_hooks.run_after(delay, [this, generation = m_generation] {
     if (generation == m_generation) {
-      Relist(ListFreshness());
+      Retry();
     }
   });
 }
 
+void KindWatcher::Retry() {
+  if (!m_reachable && !m_hooks.may_retry() &&
+      ++m_skipped_retries < kRetriesPerOwnRetry) {
+    ScheduleRelist();
+    return;
+  }
+  m_skipped_retries = 0;
+  Relist(ListFreshness());
+}
+
+void KindWatcher::RetryNow() {
+  if (!m_reachable && !m_resyncing) {
+    Relist(ListFreshness());
+  }
+}
+
 void KindWatcher::SetReachable(bool reachable, StoreResult result) {
   if (reachable) {
     m_backoff = m_options.initial_backoff;
--- a/tools/tanagervane-node/evacuation_watch.h
+++ b/tools/tanagervane-node/evacuation_watch.h
@@ -31,6 +31,7 @@
 
   void Start() { m_watcher.Start(); }
   void SetRole(WatchRole role) { m_watcher.SetRole(role); }
+  void RetryNow() { m_watcher.RetryNow(); }
   bool known() const { return m_watcher.has_snapshot(); }
 
   /// Handles the beginning of an era of the store; see KindWatcher::OnEra().
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -137,6 +137,10 @@
     m_loop.RunAfter(delay, std::move(task));
   };
   hooks.now = [] { return Poller::Now(); };
+  if (kind != StoreKind::kConfig) {
+    // Each call is priced, also one that an unreachable store refuses.
+    hooks.may_retry = [this] { return m_config_watcher->reachable(); };
+  }
   hooks.on_watch_unanswered = [kind](uint64_t applied_revision,
                                      uint64_t revision) {
     LogEvent("store_watch_unanswered")
@@ -275,6 +279,12 @@
   if (kind == StoreKind::kReplicas) {
     m_replicas.SetStoreReachable(reachable, Poller::Now());
   }
+  if (kind == StoreKind::kConfig && reachable) {
+    m_replica_watcher->RetryNow();
+    if (m_evacuation_watch) {
+      m_evacuation_watch->RetryNow();
+    }
+  }
 }
 
 VmRegistryHooks Node::RegistryHooks() {
--- a/unittests/state/kind_watcher_test.cc
+++ b/unittests/state/kind_watcher_test.cc
@@ -590,6 +590,39 @@
   EXPECT_EQ(m_list_freshness, Freshness::kLatest);
 }
 
+// Guards against calls to an unreachable store for each kind, all of which are
+// priced, and against a kind that is never read again because another one is
+// unreadable.
+TEST_F(KindWatcherTest, RetriesOfAnotherKindReplaceMostOfItsOwn) {
+  bool may_retry = false;
+  KindWatcherHooks hooks = Hooks();
+  hooks.may_retry = [&may_retry] { return may_retry; };
+  KindWatcher watcher({}, std::move(hooks), 1);
+  watcher.Start();
+  AnswerList(StoreResult::kUnavailable);
+  for (int retry = 0; retry < 3; ++retry) {
+    RunTasks();
+    EXPECT_TRUE(m_lists.empty());
+  }
+  RunTasks();
+  ASSERT_EQ(m_lists.size(), 1u);
+  watcher.RetryNow();
+  EXPECT_EQ(m_lists.size(), 1u) << "a list is in flight";
+  AnswerList(StoreResult::kUnavailable);
+  watcher.RetryNow();
+  ASSERT_EQ(m_lists.size(), 1u);
+  RunTasks();
+  EXPECT_EQ(m_lists.size(), 1u) << "the retry that waited is dropped";
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  EXPECT_TRUE(watcher.reachable());
+  watcher.RetryNow();
+  EXPECT_TRUE(m_lists.empty());
+  // A watch that was cut off is no outage.
+  AnswerWatch(StoreResult::kUnavailable);
+  RunTasks();
+  EXPECT_EQ(m_lists.size(), 1u);
+}
+
 // Fails if calls to an unreachable store are retried without a delay.
 TEST_F(KindWatcherTest, FailedCallsAreDelayed) {
   m_watcher.Start();
