Check no watch that has ended or whose VM has lost its role

Cause: a VM that lost its role kept the watch of the latest state that it had begun, as it should, and went on to check it by reads of the latest state, for up to 16.5 s. After an outage of the store every VM of a fleet did so. A check could also run between a watch that was answered and the next one, and take the changes that are gathered meanwhile for missed ones. Change: checks end with the role and with the answer of the watch. Measured: the two new unit tests fail without the change; 64 tests of state_unittests pass.

--- a/include/tanagervane/state/kind_watcher.h
+++ b/include/tanagervane/state/kind_watcher.h
@@ -230,8 +230,7 @@
   std::optional<Millis> m_lagging_since;
   /// Incremented to ignore the completions of earlier calls.
   uint64_t m_generation = 0;
-  /// Number of the latest watch, so that the check of an earlier one is
-  /// dropped.
+  /// Increased when a watch begins or ends, so that its check is dropped.
   uint64_t m_watch_count = 0;
   /// Revision of each object. A late event with a lower revision is ignored.
   std::unordered_map<std::string, uint64_t> m_object_revisions;
--- a/lib/state/kind_watcher.cc
+++ b/lib/state/kind_watcher.cc
@@ -228,9 +228,13 @@
 }
 
 void KindWatcher::CheckWatch() {
+  if (WatchFreshness() == Freshness::kStale) {
+    // Another VM has the role since this watch began.
+    return;
+  }
   // A stale read costs the store least, but shows a change that the watch has
   // missed only when it is as old as the data.
-  const bool stale = m_role == WatchRole::kLatest && m_options.stale_reads;
+  const bool stale = m_options.stale_reads && m_role != WatchRole::kLeader;
   const WatchRequest request{
       .revision = m_watch_revision,
       .freshness = stale ? Freshness::kStale : Freshness::kLatest,
@@ -316,6 +320,8 @@
                                 Millis sent_at,
                                 StoreResult result,
                                 const StoreEvents& events) {
+  // The check of this watch is not needed any more.
+  ++m_watch_count;
   if (result == StoreResult::kRevisionTooOld) {
     SetReachable(true, result);
     Relist(Freshness::kLatest);
--- a/unittests/state/kind_watcher_test.cc
+++ b/unittests/state/kind_watcher_test.cc
@@ -467,6 +467,36 @@
   EXPECT_EQ(m_watch_request.freshness, Freshness::kLatest);
 }
 
+// Guards against a VM that has lost its role and still makes expensive checks
+// of the watch that it began in it, which may wait for long.
+TEST_F(StaleReadsTest, WatchesOfAFormerRoleAreNotChecked) {
+  m_stale_watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  m_stale_watcher.SetRole(WatchRole::kLeader);
+  m_watches.clear();
+  m_stale_watcher.SetRole(WatchRole::kNone);
+  RunTasks();
+  EXPECT_TRUE(m_watches.empty());
+  EXPECT_TRUE(m_tasks.empty());
+}
+
+// Guards against a check between a watch that was answered and the next one:
+// changes that are gathered meanwhile are not missed.
+TEST_F(StaleReadsTest, AnsweredWatchesAreNotChecked) {
+  KindWatcher watcher({.batch_delay = Millis(500)}, Hooks(), 1);
+  watcher.Start();
+  AnswerList(StoreResult::kOk, Page({{"a", 3, {}}}, 10));
+  ASSERT_EQ(m_tasks.size(), 1u);
+  auto check = std::move(m_tasks.front());
+  m_tasks.clear();
+  AnswerWatch(StoreResult::kOk, {{{{"b", 11, {}}, false}}, 11});
+  check();
+  EXPECT_TRUE(m_watches.empty());
+  RunTasks();
+  ASSERT_EQ(m_watches.size(), 1u);
+  EXPECT_TRUE(m_watch_request.wait);
+}
+
 // Guards against a grace time that begins when a VM takes up the role: nobody
 // may have watched for some time before (review/7 with a removal).
 TEST_F(StaleReadsTest, ChangesBeforeARoleCountFromBeforeIt) {
