--- a/integration/soak_platform.py
+++ b/integration/soak_platform.py
@@ -12,8 +12,9 @@
   lose their registrations while they serve;
 - replicas state that they leave, or a limit on the requests that they take, or
   for how long they want none;
-- the store returns 503, does not answer, is slow, omits events from watches,
-  loses the answers of writes or discards its history;
+- the store returns 503, does not answer (in half of the cases not even the
+  watches that waited before), is slow, omits events from watches, loses the
+  answers of writes or discards its history;
 - the configuration changes;
 - other writers put entries that cannot be read into the store;
 - open connections to replicas go silent while new ones work;
@@ -108,6 +109,8 @@
         self.callers = callers
         self.random = random.Random(seed)
         self.statement_random = random.Random("statements %d" % seed)
+        # Of its own, so that earlier seeds play as before.
+        self.silence_random = random.Random("silence %d" % seed)
         self.peer_random = random.Random("peers %d" % seed)
         self.restore_random = random.Random("restores %d" % seed)
         # With an odd seed the nodes run without eras.
@@ -285,9 +288,12 @@
             ("unavailable", True), ("silent", True), ("omit_events", True),
             ("lose_answers", True), ("delay_s", 0.7)))
         setattr(store, fault, value)
+        if fault == "silent":
+            store.lose_watch_answers = self.silence_random.random() < 0.5
 
         def restore():
             setattr(store, fault, False)
+            store.lose_watch_answers = False
         return restore
 
     def forget_history(self):
