Ask the listed VMs for statements before gossip has found them

Cause: a restarted VM owns a share of the limits a lease term (1.2 s) after all VMs of the list are known to count it. It asked only those that gossip had found, which takes 0.8 s when all start at once; the list, with their addresses, is there after 0.1 s. Change: until it owns a share, a VM also asks the listed VMs that have stated nothing yet. What makes the bound hold is the same: the lease term after the last statement, and the properties of the fleet's shares. Measured: the new unit test fails without the change; 30 tests of quota_unittests pass, among them the five properties.

--- a/include/tanagervane/quota/fleet_census.h
+++ b/include/tanagervane/quota/fleet_census.h
@@ -8,6 +8,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "tanagervane/quota/messages.h"
 #include "tanagervane/support/millis.h"
@@ -52,6 +53,9 @@
   /// none, it does from a lease term after all others are known to count it.
   double UpdateOwnedShare(Millis now);
 
+  /// The listed VMs that have stated nothing yet.
+  std::vector<std::string_view> UnheardVms() const;
+
   /// Whether this VM needs statements of others to own or to keep its share.
   bool NeedsStatements(Millis now) const;
 
--- a/lib/quota/fleet_census.cc
+++ b/lib/quota/fleet_census.cc
@@ -117,6 +117,16 @@
   return m_owns_share ? 1.0 / static_cast<double>(Count(now)) : 0;
 }
 
+std::vector<std::string_view> FleetCensus::UnheardVms() const {
+  std::vector<std::string_view> unheard;
+  for (const auto& [id, vm] : m_others) {
+    if (!vm.absent_since && !vm.stated_at) {
+      unheard.push_back(id);
+    }
+  }
+  return unheard;
+}
+
 bool FleetCensus::NeedsStatements(Millis now) const {
   return !m_owns_share || !m_listed_at ||
          now - *m_listed_at >= kIsolationTimeout * kAskBeforeIsolationFraction;
--- a/lib/quota/fleet_quota_shares.cc
+++ b/lib/quota/fleet_quota_shares.cc
@@ -155,6 +155,12 @@
     return;
   }
   request.slots = 0;
+  // After a start, gossip finds the listed VMs only after some rounds.
+  for (const std::string_view vm : m_census.UnheardVms()) {
+    if (std::ranges::find(m_live, vm) == m_live.end()) {
+      outside.push_back(vm);
+    }
+  }
   const size_t count = std::min(outside.size(), kMaxStatementRequests);
   for (size_t i = 0; i < count; ++i) {
     Send(outside[m_next_outside++ % outside.size()], request);
--- a/unittests/quota/fleet_quota_test.cc
+++ b/unittests/quota/fleet_quota_test.cc
@@ -429,6 +429,30 @@
   EXPECT_LE(fleet.admitted("t").size(), 33);
 }
 
+// Guards against a VM that waits after its start until gossip has found the VMs
+// of the list, and has no share meanwhile.
+TEST(FleetQuotaTest, ListedVmsAreAskedBeforeGossipFindsThem) {
+  std::vector<std::string> asked;
+  FleetQuotaHooks hooks;
+  hooks.send = [&](std::string_view vm, const QuotaMessage& message) {
+    if (std::holds_alternative<ShareRequest>(message.body)) {
+      asked.emplace_back(vm);
+    }
+  };
+  FleetQuota quota("vm-1", 1, QuotaBounds(), hooks, Millis(0));
+  quota.SetTenants(std::vector<TenantSpec>{MakeTenant("t", 10, 10)}, Millis(0));
+  const std::vector<std::string> listed = {"vm-1", "vm-2", "vm-3"};
+  quota.OnList(listed, Millis(0), Millis(0));
+  quota.SetLive({"vm-2"}, false, Millis(0));
+  quota.OnTick(Millis(10));
+  EXPECT_EQ(asked, (std::vector<std::string>{"vm-2", "vm-3"}));
+  quota.OnMessage({"vm-3", ShareRequest{1, 0, {.count = 3, .floor = 0}}},
+                  Millis(20));
+  asked.clear();
+  quota.OnTick(Millis(1000));
+  EXPECT_EQ(asked, std::vector<std::string>{"vm-2"});
+}
+
 // Guards against work and messages of deployments without limits.
 TEST(FleetQuotaTest, NothingIsSentWithoutLimits) {
   int sent = 0;
