Excuse the restart after a graceful stop in the audit of the soak

Trace: node-2 was asked to stop at 303.484 s. The replica rejected a request of the stopping process at 303.647 s and wanted nothing for 1 s. The new process started at 304.535 s, cannot know of that, and sent three requests before 304.646 s. The rule says that a restart of the VM since then excuses it. The audit knew of the disruption at the stop only, before the rejection; kills and pauses have no request after their recorded time. Change: the soak records the restart as well.

--- a/integration/soak_platform.py
+++ b/integration/soak_platform.py
@@ -217,6 +217,9 @@
             if node.process.poll() is None:
                 node.process.send_signal(signal.SIGCONT)
                 node.process.wait(10)
+            # The new process knows nothing of what replicas stated while the
+            # earlier one stopped.
+            self.audit.add_disruption(node.ip, time.monotonic())
             node.start()
         return restart
 
