Let the test of an ended rate limit need all replicas

Trace: the test says that its requests need all replicas, but two replicas of four slots run all eight that are sent at once. How many the third gets then depends on the latencies that the nodes measured for it. Change: the replicas have two slots in this test, so that the third is needed for two of each eight requests. The bound is the same.

--- a/integration/test_rate_limits.py
+++ b/integration/test_rate_limits.py
@@ -95,6 +95,11 @@
     def test_limit_ends(self):
         """Guards against a replica that is spared although it states no limit
         any more, also by a node that sends it few requests."""
+        for replica in self.replicas:
+            # Two replicas cannot run all requests that are sent at the same
+            # time, so the third is used also if it was measured to be slower.
+            replica.slots = 2
+            replica.register()
         limited = self.replicas[0]
         limited.rate_limit = 0.0
         self.send(1)
@@ -106,7 +111,6 @@
         self.send(2)
         self.assertGreater(len(limited.arrival_times) - known, 20)
 
-
     def test_replicas_that_ask_for_a_backoff(self):
         """Guards against requests to replicas that have rejected one and asked
         for a back-off, and against replicas that are not used after it."""
