--- a/review/lib-3/lab.py
+++ b/review/lib-3/lab.py
@@ -27,7 +27,10 @@
 
 from platform_standin import Platform  # noqa: E402
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Statuses of a case's program. A Python program that can't be read exits with 1,
+# so run.sh turns 10 into 1 and all others but 0 into 2.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
+VERDICTS = {HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}
 HOST = "h.example"
 START_TIMEOUT_S = 15
 
@@ -339,26 +342,24 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def write_record(self, verdict):
-        names = {HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}
         with open(os.path.join(self.case_folder, "record.txt"), "w",
                   encoding="utf-8") as file:
             file.write("trouble: %s\n" % ("yes" if self.trouble else "no"))
             file.writelines(line + "\n" for line in self.lines)
-            file.write("rule: %s\n" % names[verdict])
+            file.write("rule: %s\n" % VERDICTS[verdict])
 
 
 def play(case_file, case):
     """Runs `case(lab)`, which returns whether the rule held, and exits."""
-    lab = Lab(os.path.dirname(os.path.abspath(case_file)))
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     verdict = NOT_RUN
+    lab = Lab(os.path.dirname(os.path.abspath(case_file)))
     try:
         verdict = HELD if case(lab) else BROKEN
-    except (CannotRun, OSError) as error:
-        lab.note("cannot run: %s", error)
+    except Exception as error:  # Any fault of the script says nothing.
+        lab.note("cannot run: %r", error)
     finally:
         lab.close()
         lab.write_record(verdict)
-    print("rule %s" % {HELD: "held", BROKEN: "broken",
-                       NOT_RUN: "not run"}[verdict])
+    print("rule %s" % VERDICTS[verdict])
     sys.exit(verdict)
