--- a/review/11/play.py
+++ b/review/11/play.py
@@ -12,6 +12,9 @@
 import lab as lab_module  # noqa: E402
 from lab import SHEET, ask, play, require  # noqa: E402
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 # The bounds of the sheet with tenants, kmae-reg-grown.
 BOUNDS = dict(SHEET["bounds"], stabilityWindowMs=5000, ackMs=8000, catchUpS=6,
               drainMs=5000, configApplyMs=5000, outerMs=15000, retrySlack=166,
@@ -76,7 +79,7 @@
         node.end()
     lab.note("all %d machines lose power", MACHINES)
     time.sleep(DOWN_S)
-    back = nodes[:-1] if lab.trouble else nodes
+    back = nodes[:-1] if TROUBLE else nodes
     for node in back:
         node.start()
     lab.note("%d machines are back", len(back))
@@ -87,4 +90,4 @@
     return after >= MIN_SERVED
 
 
-play(__file__, case)
+play(__file__, case, TROUBLE)
--- a/review/14/play.py
+++ b/review/14/play.py
@@ -17,6 +17,9 @@
 import lab as lab_module  # noqa: E402
 from lab import Caller, RawReplica, play, read_body, require  # noqa: E402
 
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 # maxBodyBytes in the configuration of the sheet.
 BODY_BYTES = 262144
 ANSWER_BYTES = 48000
@@ -68,7 +71,7 @@
         # An early answer that ends with its connection.
         connection.sendall(head.encode() + b"\r\n" + whole[:SENT_BYTES])
         time.sleep(0.02)
-        if (lab.trouble and number < GARBLING_REPLICAS and
+        if (TROUBLE and number < GARBLING_REPLICAS and
                 next(garbled_answers) % ANSWERS_PER_RESET == 0):
             resets.append(request_id)
             lab.note("replica %d: request %s runs, reset after %d of %d bytes",
@@ -128,4 +131,4 @@
     return wrong == 0
 
 
-play(__file__, case)
+play(__file__, case, TROUBLE)
--- a/review/lib-3/lab.py
+++ b/review/lib-3/lab.py
@@ -298,9 +298,9 @@
 class Lab:
     """The processes, stand-ins and the record of one case."""
 
-    def __init__(self, case_folder):
+    def __init__(self, case_folder, trouble):
         self.case_folder = case_folder
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.trouble = trouble
         self.lines = []
         self.lock = threading.Lock()
         self.started_at = time.monotonic()
@@ -349,11 +349,12 @@
             file.write("rule: %s\n" % VERDICTS[verdict])
 
 
-def play(case_file, case):
-    """Runs `case(lab)`, which returns whether the rule held, and exits."""
+def play(case_file, case, trouble):
+    """Runs `case(lab)`, which returns whether the rule held, and exits. The
+    record states whether the case brought its trouble about."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     verdict = NOT_RUN
-    lab = Lab(os.path.dirname(os.path.abspath(case_file)))
+    lab = Lab(os.path.dirname(os.path.abspath(case_file)), trouble)
     try:
         verdict = HELD if case(lab) else BROKEN
     except Exception as error:  # Any fault of the script says nothing.
