Set the shares of silent VMs aside instead of waiting for their statements

Cause: a new process owned a share of the limits only when each listed VM had stated a count that includes it. A lost VM states nothing.

Change: the registration of a VM holds its claim. No decision waits for another VM. Writes go to a known revision, so late ones have no effect. Registrations are no longer replaced by a restart at the same address.

The tests of the census spoke of statements, which no longer decide; they are replaced by tests of the same guarantees for claims.

--- a/include/tanagervane/fleet/vm_registry.h
+++ b/include/tanagervane/fleet/vm_registry.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,10 @@
 struct ListedVm {
   std::string id;
   std::string gossip_address;
+  /// See CensusEntry::claim.
+  std::optional<uint64_t> claim;
+  /// The store's revision at the last change of the registration.
+  uint64_t revision = 0;
 };
 
 struct ListedVmPage {
@@ -34,9 +39,11 @@
   using WriteDone = std::function<void(WriteResult)>;
   using PageDone = std::function<void(StoreResult, ListedVmPage)>;
 
-  /// Creates or replaces this VM's registration.
+  /// Creates this VM's registration.
   std::function<void(WriteDone)> create;
-  std::function<void(WriteDone)> replace;
+  /// Replaces this VM's registration, which must still have the revision, by
+  /// one with the claim.
+  std::function<void(uint64_t revision, uint64_t claim, WriteDone)> replace;
   /// Deletes the registration of a VM.
   std::function<void(std::string_view id)> remove;
   /// Reads the page that starts after the name `after`.
@@ -60,7 +67,7 @@
 /// calls that its hooks start.
 class VmRegistry {
  public:
-  VmRegistry(std::string id, VmRegistryHooks hooks);
+  VmRegistry(std::string id, std::string gossip_address, VmRegistryHooks hooks);
 
   /// Reads the list and registers this VM.
   void Start(Millis now);
@@ -71,6 +78,13 @@
   /// Writes this VM's registration again, because the store may have lost it.
   void RegisterAgain(Millis now);
 
+  /// Reads the latest list.
+  void ReadLatest(Millis now) { ReadList(Freshness::kLatest, now); }
+
+  /// Writes the claim to this VM's registration. `done` is told whether that
+  /// succeeded; if not, the latest list must be read before the next call.
+  void WriteClaim(uint64_t claim, std::function<void(bool)> done);
+
   /// Removes this VM's registration and never registers it again.
   void Deregister();
 
@@ -78,8 +92,11 @@
   /// Empty before the first full read.
   std::optional<size_t> listed_count() const;
 
-  /// Ids of the listed VMs; empty before the first full read.
-  std::vector<std::string> ListedIds() const;
+  /// The listed VMs; empty before the first full read.
+  std::span<const ListedVm> listed() const;
+
+  /// Whether the list includes all changes before it was requested.
+  bool is_latest() const { return m_is_latest; }
 
   /// The gossip address of a VM; empty when the VM is not listed.
   std::optional<std::string> AddressOf(std::string_view id) const;
@@ -94,6 +111,8 @@
  private:
   void Register(Millis now);
   void OnRegistered(WriteResult result, Millis now);
+  /// Continues the registration after the store has found an earlier one.
+  void ResolveConflict(Millis now);
   /// Schedules two reads soon after the registration, so that VMs that start at
   /// the same time discover each other.
   void ScheduleEarlyReads(Millis now);
@@ -103,15 +122,19 @@
   void ApplyList(Freshness freshness, Millis now);
   bool HasLiveOthers() const;
   void RemoveDeadVms(Millis now);
-  bool IsListed() const;
+  const ListedVm* FindSelf() const;
+  bool IsListed() const { return FindSelf() != nullptr; }
   bool HasLowestLiveId() const;
   bool MajorityIsLive() const;
 
   std::string m_id;
+  std::string m_gossip_address;
   VmRegistryHooks m_hooks;
   bool m_deregistered = false;
   bool m_registering = false;
   bool m_registered_once = false;
+  /// The store holds a registration of this VM, which the next list shows.
+  bool m_has_conflict = false;
   /// The write in flight must be followed by another one.
   bool m_register_again = false;
   /// When this VM was last registered.
@@ -125,6 +148,11 @@
   /// RequestRefresh() does nothing before this time.
   Millis m_next_requested_read{0};
   std::optional<std::vector<ListedVm>> m_listed;
+  bool m_is_latest = false;
+  /// The latest known revision of this VM's registration; 0 after a write.
+  uint64_t m_own_revision = 0;
+  /// From then on a stale list may show a revision from before the write.
+  bool m_has_written_claim = false;
   /// By VM id: since when a listed VM has not been live.
   std::map<std::string, Millis, std::less<>> m_not_live_since;
 };
--- a/include/tanagervane/quota/fleet_quota.h
+++ b/include/tanagervane/quota/fleet_quota.h
@@ -32,9 +32,16 @@
 /// its share: after a start, requests are refused until then.
 inline constexpr Millis kUnsettledRoundInterval{125};
 
+/// The shortest delay between reads of the latest list.
+inline constexpr Millis kMinListDelay{500};
+
 struct FleetQuotaHooks {
   /// Sends a message to another VM. It may be lost.
   std::function<void(std::string_view vm, const QuotaMessage&)> send;
+  /// Writes this VM's claim to its registration. OnClaimWritten() must follow.
+  std::function<void(uint64_t claim)> write_claim;
+  /// Reads the latest list of VMs. OnList() follows if that succeeds.
+  std::function<void()> read_latest_list;
   /// Reports the decision on a request for which Ask() returned kPending.
   std::function<void(uint64_t request, const PermitDecision&)> on_permit;
 };
@@ -72,9 +79,13 @@
   }
 
   /// Records a list of VMs from the store; see FleetCensus::OnList().
-  void OnList(std::span<const std::string> listed,
-              Millis requested_at,
-              Millis now);
+  void OnList(const CensusList& list, Millis now);
+
+  /// Records the outcome of write_claim; see FleetCensus::OnClaimWritten().
+  void OnClaimWritten(uint64_t claim, bool is_written, Millis now);
+
+  /// Records that the store was restored from an earlier copy.
+  void OnStoreRestored(Millis now) { m_census.OnStoreRestored(now); }
 
   /// Sets the other VMs that gossip considers alive and that do not leave.
   /// While this VM leaves, it is no pool VM.
@@ -99,6 +110,12 @@
   const FleetQuotaStats& stats() const { return m_stats; }
   /// The share of each limit that this VM owns.
   double owned_share() const { return m_shares.owned(); }
+  /// The claim of this VM's registration as far as known; 0 if none.
+  uint64_t claim() const { return m_census.claim(); }
+  /// The VMs among which limits are divided, and those of them that have not
+  /// stated anything.
+  size_t counted_vms(Millis now) const { return m_census.Count(now); }
+  size_t unheard_vms() const { return m_census.UnheardVms().size(); }
   /// The share of the tenant's limit that this VM may use now.
   double UsableShare(std::string_view tenant, Millis now) const;
 
@@ -130,6 +147,8 @@
   void Settle(size_t slot, Millis now);
   void ChoosePools(Millis now);
   void SendRound(Millis now);
+  /// Writes the claim or reads the latest list if the census needs it.
+  void UpdateClaim(Millis now);
   SlotMask PooledSlots() const;
   /// Whether this VM owns a share and holds those of all live VMs of its group
   /// for the slots that it pools.
@@ -184,6 +203,9 @@
   std::deque<Round> m_rounds;
   Millis m_next_round;
   Millis m_census_updated_at;
+  /// When the latest list may be read again, and the delay after that.
+  Millis m_next_list;
+  Millis m_list_delay;
   /// Where the next round begins among the VMs of other groups.
   size_t m_next_outside = 0;
   /// The latest refusal of each tenant.
--- a/include/tanagervane/quota/messages.h
+++ b/include/tanagervane/quota/messages.h
@@ -23,7 +23,8 @@
 struct CensusStatement {
   /// VMs that the sender counts.
   uint64_t count = 0;
-  /// A count that each VM that the sender counts is known to have reached.
+  /// A count that each VM that the sender counts is known to have reached. Only
+  /// earlier releases use it.
   uint64_t floor = 0;
 
   bool operator==(const CensusStatement&) const = default;
--- a/integration/platform_standin.py
+++ b/integration/platform_standin.py
@@ -311,6 +311,10 @@
         name = parts[1] if len(parts) > 1 else body["meta"]["name"]
         if request.method == "POST" and name in self.objects[kind]:
             return response(409, encode(self.objects[kind][name]))
+        expected = (body.get("meta") or {}).get("rev")
+        known = self.objects[kind].get(name)
+        if expected is not None and known and known["meta"]["rev"] != expected:
+            return response(409, encode(known))
         item = await self.apply(kind, name, body["spec"])
         return response(200, encode(item))
 
--- a/lib/fleet/vm_registry.cc
+++ b/lib/fleet/vm_registry.cc
@@ -33,8 +33,12 @@
 
 }  // namespace
 
-VmRegistry::VmRegistry(std::string id, VmRegistryHooks hooks)
-    : m_id(std::move(id)), m_hooks(std::move(hooks)) {}
+VmRegistry::VmRegistry(std::string id,
+                       std::string gossip_address,
+                       VmRegistryHooks hooks)
+    : m_id(std::move(id)),
+      m_gossip_address(std::move(gossip_address)),
+      m_hooks(std::move(hooks)) {}
 
 void VmRegistry::Start(Millis now) {
   ReadList(Freshness::kStale, now);
@@ -67,12 +71,9 @@
   return m_listed->size() + (IsListed() ? 0 : 1);
 }
 
-std::vector<std::string> VmRegistry::ListedIds() const {
-  std::vector<std::string> ids;
-  if (m_listed) {
-    std::ranges::transform(*m_listed, std::back_inserter(ids), &ListedVm::id);
-  }
-  return ids;
+std::span<const ListedVm> VmRegistry::listed() const {
+  return m_listed ? std::span<const ListedVm>(*m_listed)
+                  : std::span<const ListedVm>();
 }
 
 std::optional<std::string> VmRegistry::AddressOf(std::string_view id) const {
@@ -111,19 +112,63 @@
   m_registering = true;
   m_hooks.create([this, now](WriteResult result) {
     if (result == WriteResult::kConflict) {
-      // The previous process of this VM left its registration. Replacing it
-      // changes nothing when the address is the same.
+      // The previous process of this VM left its registration.
       if (!m_registered_once) {
         m_hooks.on_registered_before();
       }
-      m_hooks.replace(
-          [this, now](WriteResult replaced) { OnRegistered(replaced, now); });
+      m_has_conflict = true;
+      if (m_listed) {
+        ResolveConflict(now);
+      }
+      m_hooks.run_after(kRegisterRetryDelay, [this, now] {
+        if (std::exchange(m_has_conflict, false)) {
+          OnRegistered(WriteResult::kUnknown, now);
+        }
+      });
       return;
     }
     OnRegistered(result, now);
   });
 }
 
+void VmRegistry::ResolveConflict(Millis now) {
+  const ListedVm* self = FindSelf();
+  if (self == nullptr && !m_is_latest) {
+    ReadList(Freshness::kLatest, now);
+    return;
+  }
+  m_has_conflict = false;
+  if (self == nullptr) {
+    // It has been removed since.
+    Register(now);
+    return;
+  }
+  if (self->gossip_address == m_gossip_address) {
+    OnRegistered(WriteResult::kDone, now);
+    return;
+  }
+  m_hooks.replace(std::exchange(m_own_revision, 0), 0,
+                  [this, now](WriteResult replaced) {
+                    if (replaced == WriteResult::kConflict) {
+                      ReadList(Freshness::kLatest, now);
+                    }
+                    OnRegistered(replaced, now);
+                  });
+}
+
+void VmRegistry::WriteClaim(uint64_t claim, std::function<void(bool)> done) {
+  const uint64_t revision = std::exchange(m_own_revision, 0);
+  m_has_written_claim = true;
+  if (m_deregistered || revision == 0) {
+    done(false);
+    return;
+  }
+  m_hooks.replace(revision, claim,
+                  [done = std::move(done)](WriteResult result) {
+                    done(result == WriteResult::kDone);
+                  });
+}
+
 void VmRegistry::OnRegistered(WriteResult result, Millis now) {
   if (result != WriteResult::kDone) {
     m_hooks.on_register_failed();
@@ -193,6 +238,14 @@
 
 void VmRegistry::ApplyList(Freshness freshness, Millis now) {
   m_listed = std::exchange(m_partial_list, {});
+  m_is_latest = freshness == Freshness::kLatest;
+  const ListedVm* self = FindSelf();
+  if (self != nullptr && (m_is_latest || !m_has_written_claim)) {
+    m_own_revision = self->revision;
+  }
+  if (m_has_conflict) {
+    ResolveConflict(now);
+  }
   // A stale list may be older than this VM's registration.
   const bool reflects_registration =
       freshness == Freshness::kLatest || now - m_registered_at > kMaxStaleness;
@@ -204,8 +257,9 @@
   m_hooks.on_list_read();
 }
 
-bool VmRegistry::IsListed() const {
-  return std::ranges::find(*m_listed, m_id, &ListedVm::id) != m_listed->end();
+const ListedVm* VmRegistry::FindSelf() const {
+  const auto self = std::ranges::find(*m_listed, m_id, &ListedVm::id);
+  return self == m_listed->end() ? nullptr : &*self;
 }
 
 bool VmRegistry::MajorityIsLive() const {
--- a/lib/quota/fleet_quota.cc
+++ b/lib/quota/fleet_quota.cc
@@ -28,6 +28,10 @@
 /// A pool VM that does not answer is asked again after this time.
 constexpr Millis kSilenceDuration{300};
 
+/// The delay between reads of the latest list doubles up to this one while the
+/// other VMs leave no share.
+constexpr Millis kMaxListDelay{16'000};
+
 }  // namespace
 
 FleetQuota::FleetQuota(std::string self,
@@ -42,7 +46,9 @@
       m_client(Random(seed).Next()),
       m_round_nonce(Random(seed).Next()),
       m_next_round(now),
-      m_census_updated_at(now) {
+      m_census_updated_at(now),
+      m_next_list(now),
+      m_list_delay(kMinListDelay) {
   ChoosePools(now);
 }
 
@@ -215,6 +221,7 @@
         now + (IsSettled(now) ? kShareRoundInterval : kUnsettledRoundInterval);
     if (enabled()) {
       SendRound(now);
+      UpdateClaim(now);
     }
     m_shares.Expire(now);
   }
@@ -228,6 +235,25 @@
   }
 }
 
+void FleetQuota::UpdateClaim(Millis now) {
+  if (const auto claim = m_census.TakeClaimToWrite(now)) {
+    m_list_delay = kMinListDelay;
+    m_next_list = now;
+    m_hooks.write_claim(*claim);
+    return;
+  }
+  if (m_census.NeedsLatestList(now) && now >= m_next_list) {
+    m_next_list = now + m_list_delay;
+    m_list_delay = std::min(m_list_delay * 2, kMaxListDelay);
+    m_hooks.read_latest_list();
+  }
+}
+
+void FleetQuota::OnClaimWritten(uint64_t claim, bool is_written, Millis now) {
+  m_census.OnClaimWritten(claim, is_written, now);
+  UpdateClaim(now);
+}
+
 std::optional<Millis> FleetQuota::NextTimer() const {
   const std::optional<Millis> permits = m_client.NextTimer();
   if (!enabled()) {
--- a/lib/quota/fleet_quota_shares.cc
+++ b/lib/quota/fleet_quota_shares.cc
@@ -29,12 +29,13 @@
 
 }  // namespace
 
-void FleetQuota::OnList(std::span<const std::string> listed,
-                        Millis requested_at,
-                        Millis now) {
+void FleetQuota::OnList(const CensusList& list, Millis now) {
   Advance(now);
-  m_census.OnList(listed, requested_at, now);
+  m_census.OnList(list, now);
   UpdateOwnedShare(now);
+  if (enabled()) {
+    UpdateClaim(now);
+  }
 }
 
 void FleetQuota::SetLive(std::vector<std::string> others,
@@ -43,6 +44,7 @@
   if (others != m_live || is_leaving != m_is_leaving) {
     m_live = std::move(others);
     m_is_leaving = is_leaving;
+    m_census.SetLive(m_live);
     ChoosePools(now);
   }
 }
@@ -90,6 +92,7 @@
     SettleAll(now);
     m_shares.SetOwned(share);
     SettleAll(now);
+    m_list_delay = kMinListDelay;
   }
   const size_t count = m_census.Count(now);
   if (count != m_group_count) {
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "platform/object_codec.h"
 #include "platform/store_client.h"
 #include "tanagervane/fleet/fleet_size.h"
 #include "tanagervane/fleet/latest_watchers.h"
@@ -82,6 +83,7 @@
   KindWatcherHooks ConfigHooks();
   KindWatcherHooks ReplicaHooks();
   VmRegistryHooks RegistryHooks();
+  VmRegistration MakeRegistration();
 
   // Callers.
   void OnCallerRequest(ExchangeId exchange, HttpRequestMessage message);
@@ -184,6 +186,8 @@
   EntryDirectory m_directory;
   UdpGossip m_gossip;
   VmRegistry m_registry;
+  /// The number of the latest write of the registration.
+  uint64_t m_registration_writes;
   std::unique_ptr<FleetQuota> m_quota;
   /// By the clock of m_quota.
   Millis m_vm_list_requested_at;
--- a/tools/tanagervane-node/node_era.cc
+++ b/tools/tanagervane-node/node_era.cc
@@ -1,5 +1,6 @@
 // Handling of the store's eras by Node.
 
+#include "tanagervane/support/boot_clock.h"
 #include "tanagervane/support/log.h"
 #include "tools/tanagervane-node/node.h"
 
@@ -26,6 +27,7 @@
     m_rejected_replicas.ForgetRevisions();
     m_rejected_vms.ForgetRevisions();
     m_replicas.OnStoreRestored(now);
+    m_quota->OnStoreRestored(BootNow());
     m_registry.RegisterAgain(now);
   }
   m_config_watcher->OnEra(era);
--- a/tools/tanagervane-node/node_quota.cc
+++ b/tools/tanagervane-node/node_quota.cc
@@ -16,6 +16,13 @@
   hooks.send = [this](std::string_view vm, const QuotaMessage& message) {
     m_gossip.Send(vm, message);
   };
+  hooks.write_claim = [this](uint64_t claim) {
+    m_registry.WriteClaim(claim, [this, claim](bool is_written) {
+      LogEvent("quota_claim").Field("divisor", claim).Field("ok", is_written);
+      m_quota->OnClaimWritten(claim, is_written, BootNow());
+    });
+  };
+  hooks.read_latest_list = [this] { m_registry.ReadLatest(Poller::Now()); };
   hooks.on_permit = [this](uint64_t request, const PermitDecision& decision) {
     m_dispatcher.OnPermit(request, decision, Poller::Now());
   };
@@ -78,7 +85,14 @@
 }
 
 void Node::UpdateQuotaList() {
-  m_quota->OnList(m_registry.ListedIds(), m_vm_list_requested_at, BootNow());
+  CensusList list;
+  for (const ListedVm& vm : m_registry.listed()) {
+    list.entries.push_back({vm.id, vm.claim});
+  }
+  list.is_latest = m_registry.is_latest();
+  list.requested_at = m_vm_list_requested_at;
+  m_quota->OnList(list, BootNow());
+  LogOwnedShare();
 }
 
 void Node::UpdateQuotaPeers(std::span<const PeerTable::Peer> peers) {
@@ -97,7 +111,11 @@
     return;
   }
   m_logged_share = m_quota->owned_share();
-  LogEvent("quota_share").Field("owned", fmt::format("{:.4f}", m_logged_share));
+  LogEvent("quota_share")
+      .Field("owned", fmt::format("{:.4f}", m_logged_share))
+      .Field("claim", m_quota->claim())
+      .Field("vms", m_quota->counted_vms(BootNow()))
+      .Field("unheard", m_quota->unheard_vms());
 }
 
 void Node::UpdateQuotaMetrics(MetricsRegistry& metrics) {
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -37,11 +37,11 @@
   result.has_more = page.has_more;
   for (const StoreObject& object : page.objects) {
     result.last_name = object.name;
-    auto address = DecodeVm(object);
-    if (address.ok()) {
-      result.vms.push_back({object.name, *std::move(address)});
+    auto vm = DecodeVm(object);
+    if (vm.ok()) {
+      result.vms.push_back(*std::move(vm));
     } else {
-      LogRejected("vm_entry_invalid", object, address.status(), rejected);
+      LogRejected("vm_entry_invalid", object, vm.status(), rejected);
     }
   }
   return result;
@@ -289,12 +289,17 @@
 
 VmRegistryHooks Node::RegistryHooks() {
   VmRegistryHooks hooks;
-  const std::string body = EncodeVm(m_settings.id, m_settings.gossip_address);
-  hooks.create = [this, body](VmRegistryHooks::WriteDone done) {
-    m_store->Create(StoreKind::kVms, body, std::move(done));
+  hooks.create = [this](VmRegistryHooks::WriteDone done) {
+    m_store->Create(StoreKind::kVms, EncodeVm(MakeRegistration()),
+                    std::move(done));
   };
-  hooks.replace = [this, body](VmRegistryHooks::WriteDone done) {
-    m_store->Replace(StoreKind::kVms, m_settings.id, body, std::move(done));
+  hooks.replace = [this](uint64_t revision, uint64_t claim,
+                         VmRegistryHooks::WriteDone done) {
+    VmRegistration registration = MakeRegistration();
+    registration.claim = claim;
+    registration.expected_revision = revision;
+    m_store->Replace(StoreKind::kVms, m_settings.id, EncodeVm(registration),
+                     std::move(done));
   };
   hooks.remove = [this](std::string_view id) {
     LogEvent("vm_deregistered").Field("vm", id);
@@ -328,6 +333,15 @@
   return hooks;
 }
 
+VmRegistration Node::MakeRegistration() {
+  VmRegistration registration;
+  registration.id = m_settings.id;
+  registration.gossip_address = m_settings.gossip_address;
+  registration.claim = m_quota->claim();
+  registration.write = ++m_registration_writes;
+  return registration;
+}
+
 void Node::OnRegistryRead() {
   m_peers.SetSeedAddresses(m_registry.OtherAddresses());
   UpdateQuotaList();
--- a/unittests/fleet/vm_registry_test.cc
+++ b/unittests/fleet/vm_registry_test.cc
@@ -32,9 +32,11 @@
                                                      : WriteResult::kConflict);
       });
     };
-    hooks.replace = [this, id](VmRegistryHooks::WriteDone done) {
-      m_calls.emplace_back([this, id, done] {
+    hooks.replace = [this, id](uint64_t, uint64_t claim,
+                               VmRegistryHooks::WriteDone done) {
+      m_calls.emplace_back([this, id, claim, done] {
         m_objects[id] = id + ":1";
+        m_claims.push_back(claim);
         done(WriteResult::kDone);
       });
     };
@@ -58,7 +60,7 @@
     hooks.on_list_read = [] {};
     hooks.on_registered_before = [this] { ++m_registered_before; };
     hooks.on_register_failed = [this] { ++m_register_failures; };
-    return std::make_unique<VmRegistry>(id, std::move(hooks));
+    return std::make_unique<VmRegistry>(id, id + ":1", std::move(hooks));
   }
 
   ListedVmPage Page(const std::string& after) const {
@@ -68,7 +70,7 @@
         page.has_more = true;
         break;
       }
-      page.vms.push_back({it->first, it->second});
+      page.vms.push_back({it->first, it->second, 7, 1});
       page.last_name = it->first;
     }
     return page;
@@ -88,6 +90,8 @@
   }
 
   std::map<std::string, std::string> m_objects;
+  /// The claims that were written.
+  std::vector<uint64_t> m_claims;
   std::set<std::string> m_live;
   std::deque<std::function<void()>> m_calls;
   std::deque<std::function<void()>> m_tasks;
@@ -199,6 +203,30 @@
   EXPECT_EQ(m_latest_reads, 0u);
 }
 
+// Guards against a restart that removes the claim of the previous process, and
+// against a claim that replaces a registration which changed meanwhile.
+TEST_F(VmRegistryTest, ClaimsAreWrittenToTheListedRevision) {
+  m_objects["vm"] = "vm:1";
+  const auto registry = MakeRegistry("vm");
+  registry->Start(Millis(0));
+  RunCalls();
+  EXPECT_EQ(m_registered_before, 1u);
+  EXPECT_TRUE(m_claims.empty());
+  std::vector<bool> written;
+  const auto record = [&](bool is_written) { written.push_back(is_written); };
+  registry->WriteClaim(4, record);
+  RunCalls();
+  // The revision after the write is not known yet.
+  registry->WriteClaim(5, record);
+  EXPECT_EQ(written, (std::vector<bool>{true, false}));
+  registry->ReadLatest(Millis(0));
+  RunCalls();
+  registry->WriteClaim(6, record);
+  RunCalls();
+  EXPECT_EQ(written, (std::vector<bool>{true, false, true}));
+  EXPECT_EQ(m_claims, (std::vector<uint64_t>{4, 6}));
+}
+
 // Two VMs that read only stale lists might never discover each other.
 TEST_F(VmRegistryTest, VmWithoutLivePeersReadsLatestList) {
   const auto registry = MakeRegistry("a");
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -488,5 +488,29 @@
   EXPECT_FALSE(DecodeReply(m_response).self_report.leaving);
 }
 
+// Guards against a claim that is lost on its way through the store, and against
+// an unreadable one, which must not hide the VM.
+TEST(VmRegistrationTest, ClaimOfAVm) {
+  VmRegistration registration{.id = "vm-1",
+                              .gossip_address = "10.0.0.1:7740",
+                              .claim = 4,
+                              .write = 9,
+                              .expected_revision = 7};
+  const auto body = nlohmann::json::parse(EncodeVm(registration));
+  EXPECT_EQ(body["meta"]["rev"], 7);
+  StoreObject object{.name = "vm-1", .revision = 8, .content = body["spec"]};
+  const auto vm = DecodeVm(object);
+  ASSERT_TRUE(vm.ok());
+  EXPECT_EQ(vm->gossip_address, "10.0.0.1:7740");
+  EXPECT_EQ(vm->claim, 4u);
+  EXPECT_EQ(vm->revision, 8u);
+  for (const char* claim : {"-1", "null", "\"4\"", "1e300", "[]"}) {
+    object.content["quotaDivisor"] = nlohmann::json::parse(claim);
+    const auto unreadable = DecodeVm(object);
+    ASSERT_TRUE(unreadable.ok()) << claim;
+    EXPECT_EQ(unreadable->claim, std::nullopt) << claim;
+  }
+}
+
 }  // namespace
 }  // namespace tanagervane
--- a/unittests/quota/components_test.cc
+++ b/unittests/quota/components_test.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gtest/gtest.h"
@@ -92,46 +94,116 @@
   EXPECT_EQ(shares.BorrowedFrom(0, "b", Millis(100)), 0.5);
 }
 
+CensusList MakeList(std::vector<CensusEntry> entries,
+                    Millis at,
+                    bool is_latest = true) {
+  return {std::move(entries), is_latest, at};
+}
+
+/// Lets the census write its claim and read the latest list; returns the claim.
+uint64_t Claim(FleetCensus& census,
+               std::vector<CensusEntry> others,
+               Millis now) {
+  std::optional<uint64_t> claim = census.TakeClaimToWrite(now);
+  now += kClaimSettleTime;
+  claim = claim ? claim : census.TakeClaimToWrite(now);
+  census.OnClaimWritten(claim.value_or(0), claim.has_value(), now);
+  others.push_back({"self", claim});
+  census.OnList(MakeList(std::move(others), now), now);
+  return claim.value_or(0);
+}
+
 // Guards against a new VM that uses a share before the others have shrunk
 // theirs.
-TEST(FleetCensusTest, NewVmWaitsForTheOthers) {
-  FleetCensus census("c", Millis(0));
-  const std::vector<std::string> listed{"a", "b", "c"};
+TEST(FleetCensusTest, NewVmTakesWhatTheOthersLeave) {
+  FleetCensus census("self", Millis(0));
   EXPECT_EQ(census.UpdateOwnedShare(Millis(10'000)), 0);
-  census.OnList(listed, Millis(10'000), Millis(10'000));
-  EXPECT_EQ(census.UpdateOwnedShare(Millis(10'000)), 0);
-  census.OnStatement("a", {.count = 3, .floor = 2}, Millis(10'100));
-  census.OnStatement("b", {.count = 2, .floor = 2}, Millis(10'100));
+  census.OnList(MakeList({{"a", 2}, {"b", 2}, {"self", 0}}, Millis(10'000)),
+                Millis(10'000));
+  EXPECT_FALSE(census.TakeClaimToWrite(Millis(20'000)));
   EXPECT_EQ(census.UpdateOwnedShare(Millis(20'000)), 0);
   EXPECT_TRUE(census.NeedsStatements(Millis(20'000)));
-  census.OnStatement("b", {.count = 3, .floor = 2}, Millis(20'100));
-  EXPECT_EQ(census.UpdateOwnedShare(Millis(20'100)), 0);
-  EXPECT_EQ(census.UpdateOwnedShare(Millis(20'099) + kLeaseTerm), 0);
-  EXPECT_DOUBLE_EQ(census.UpdateOwnedShare(Millis(20'100) + kLeaseTerm),
+  EXPECT_TRUE(census.NeedsLatestList(Millis(20'000)));
+  const std::vector<CensusEntry> smaller{{"a", 3}, {"b", 3}};
+  census.OnList(MakeList({{"a", 3}, {"b", 3}, {"self", 0}}, Millis(20'000)),
+                Millis(20'000));
+  EXPECT_EQ(Claim(census, smaller, Millis(20'000)), 3);
+  EXPECT_EQ(census.UpdateOwnedShare(Millis(20'999) + kLeaseTerm), 0);
+  EXPECT_DOUBLE_EQ(census.UpdateOwnedShare(Millis(21'000) + kLeaseTerm),
                    1.0 / 3);
-  EXPECT_FALSE(census.NeedsStatements(Millis(20'100) + kLeaseTerm));
+  EXPECT_FALSE(census.NeedsStatements(Millis(21'000) + kLeaseTerm));
+  EXPECT_FALSE(census.NeedsLatestList(Millis(21'000) + kLeaseTerm));
+}
+
+// Guards against a share that is used before its claim is in the store, and
+// against a list that was requested before that.
+TEST(FleetCensusTest, ShareNeedsAWrittenClaim) {
+  FleetCensus census("self", Millis(0));
+  const auto list = [](Millis at) {
+    return MakeList({{"a", 2}, {"self", 2}}, at);
+  };
+  census.OnList(list(Millis(0)), Millis(0));
+  // The claim of the previous process is written again, because a late write of
+  // that process could change it.
+  EXPECT_EQ(census.TakeClaimToWrite(Millis(0)), 2);
+  census.OnClaimWritten(2, true, Millis(10));
+  census.OnList(list(Millis(5)), Millis(15));
+  EXPECT_EQ(census.UpdateOwnedShare(Millis(5000)), 0);
+  census.OnList(list(Millis(5000)), Millis(5000));
+  EXPECT_EQ(census.UpdateOwnedShare(Millis(4999) + kLeaseTerm), 0);
+  EXPECT_EQ(census.UpdateOwnedShare(Millis(5000) + kLeaseTerm), 0.5);
 }
 
-// Guards against a restarted VM without a share for as long as a dead VM
-// remains listed.
-TEST(FleetCensusTest, OthersVouchForADeadVm) {
-  FleetCensus census("c", Millis(0));
-  census.OnList(std::vector<std::string>{"a", "b", "c"}, Millis(0), Millis(0));
-  census.OnStatement("a", {.count = 3, .floor = 3}, Millis(100));
-  EXPECT_EQ(census.UpdateOwnedShare(Millis(100)), 0);
-  EXPECT_DOUBLE_EQ(census.UpdateOwnedShare(Millis(100) + kLeaseTerm), 1.0 / 3);
+// Guards against a fleet without any share after a restart of all, while a VM
+// that will never answer remains listed.
+TEST(FleetCensusTest, ShareOfASilentVmIsSetAside) {
+  FleetCensus census("self", Millis(0));
+  census.OnList(
+      MakeList({{"a", 4}, {"b", 4}, {"dead", 4}, {"self", 4}}, Millis(0)),
+      Millis(0));
+  EXPECT_EQ(Claim(census, {{"a", 4}, {"b", 4}, {"dead", 4}}, Millis(0)), 4);
+  EXPECT_EQ(census.UpdateOwnedShare(Millis(1000) + kLeaseTerm), 0.25);
+  EXPECT_EQ(census.UnheardVms().size(), 3);
+}
+
+// Guards against shares of more than 1 together when the dead VM knew fewer
+// VMs than there are now, and against a new VM without any.
+TEST(FleetCensusTest, DeadVmThatKnewFewerKeepsItsShare) {
+  FleetCensus census("self", Millis(0));
+  std::vector<CensusEntry> others{{"a", 5}, {"b", 5}, {"c", 5}, {"dead", 4}};
+  std::vector<CensusEntry> all = others;
+  all.push_back({"self", 0});
+  census.OnList(MakeList(all, Millis(0)), Millis(0));
+  EXPECT_EQ(Claim(census, others, Millis(0)), 7);
+}
+
+// Guards against a registration that nobody owns, which would take all shares
+// or block them. VMs of earlier releases write no claim.
+TEST(FleetCensusTest, RegistrationWithoutAClaimCountsAsOneVm) {
+  for (const std::optional<uint64_t> claim :
+       {std::optional<uint64_t>(0), std::optional<uint64_t>()}) {
+    FleetCensus census("self", Millis(0));
+    census.OnList(MakeList({{"stray", claim}, {"self", 0}}, Millis(0)),
+                  Millis(0));
+    EXPECT_EQ(Claim(census, {{"stray", claim}}, Millis(0)), 2);
+  }
 }
 
 // Guards against shares that are divided among fewer VMs than use them.
 TEST(FleetCensusTest, CountsVmsThatMayStillRun) {
   FleetCensus census("a", Millis(0));
-  const std::vector<std::string> all{"a", "b", "c"};
-  const std::vector<std::string> without_c{"a", "b"};
-  census.OnList(all, Millis(0), Millis(0));
-  census.OnList(without_c, Millis(1000), Millis(1000));
+  const auto list = [](Millis at, bool has_c) {
+    std::vector<CensusEntry> entries{{"a", 0}, {"b", 0}};
+    if (has_c) {
+      entries.push_back({"c", 0});
+    }
+    return MakeList(std::move(entries), at, false);
+  };
+  census.OnList(list(Millis(0), true), Millis(0));
+  census.OnList(list(Millis(1000), false), Millis(1000));
   EXPECT_EQ(census.Count(Millis(1000)), 3);
   const Millis later = Millis(1000) + kForgetVmAfter;
-  census.OnList(without_c, later, later);
+  census.OnList(list(later, false), later);
   EXPECT_EQ(census.Count(later), 2);
   // Another VM knows more of them.
   census.OnStatement("b", {.count = 4, .floor = 4}, later);
@@ -141,17 +213,18 @@
 // Guards against a paused or cut-off VM that uses a share which the others have
 // divided among themselves since.
 TEST(FleetCensusTest, IsolatedVmOwnsNothing) {
-  FleetCensus census("a", Millis(0));
-  const std::vector<std::string> listed{"a", "b", "c"};
-  census.OnList(listed, Millis(0), Millis(0));
-  census.OnStatement("b", {.count = 3, .floor = 3}, Millis(0));
-  census.UpdateOwnedShare(Millis(0));
-  EXPECT_GT(census.UpdateOwnedShare(Millis(2000)), 0);
-  EXPECT_GT(census.UpdateOwnedShare(kIsolationTimeout - Millis(1)), 0);
-  EXPECT_EQ(census.UpdateOwnedShare(kIsolationTimeout), 0);
+  FleetCensus census("self", Millis(0));
+  const std::vector<CensusEntry> others{{"b", 3}, {"c", 3}};
+  census.OnList(MakeList({{"b", 3}, {"c", 3}, {"self", 3}}, Millis(0)),
+                Millis(0));
+  EXPECT_EQ(Claim(census, others, Millis(0)), 3);
+  EXPECT_GT(census.UpdateOwnedShare(Millis(3000)), 0);
+  const Millis end = kClaimSettleTime + kIsolationTimeout;
+  EXPECT_GT(census.UpdateOwnedShare(end - Millis(1)), 0);
+  EXPECT_EQ(census.UpdateOwnedShare(end), 0);
   // A list that was requested before the pause proves nothing.
-  census.OnList(listed, Millis(0), kIsolationTimeout);
-  EXPECT_EQ(census.UpdateOwnedShare(kIsolationTimeout), 0);
+  census.OnList(MakeList({{"b", 3}, {"c", 3}, {"self", 3}}, Millis(0)), end);
+  EXPECT_EQ(census.UpdateOwnedShare(end + Millis(5000)), 0);
 }
 
 TEST(PermitClientTest, RepeatsOnceAndGivesUp) {
--- a/unittests/quota/fleet_quota_test.cc
+++ b/unittests/quota/fleet_quota_test.cc
@@ -17,52 +17,12 @@
 namespace tanagervane {
 namespace {
 
-TenantSpec MakeTenant(const std::string& name, double rate, double burst) {
-  TenantSpec tenant;
-  tenant.name = name;
-  tenant.rate = rate;
-  tenant.burst = burst;
-  return tenant;
-}
-
 /// Runs until shares have been lent.
 constexpr Millis kSettleTime{8000};
 
 /// Time for the last questions to be answered.
 constexpr Millis kAnswerTime{100};
 
-/// Sends requests of a tenant as a Poisson process.
-class Demand {
- public:
-  Demand(QuotaFleet& fleet,
-         std::string tenant,
-         double per_second,
-         Random& random)
-      : m_fleet(fleet),
-        m_tenant(std::move(tenant)),
-        m_per_ms(per_second / 1000),
-        m_random(random) {}
-
-  /// Sends the requests of one millisecond to VMs in [first, first + count).
-  /// Returns their number.
-  int Step(size_t first, size_t count) {
-    int sent = 0;
-    for (m_due += m_per_ms * -std::log(1 - m_random.NextDouble()); m_due >= 1;
-         m_due -= 1) {
-      m_fleet.Send(first + m_random.NextBelow(count), m_tenant);
-      ++sent;
-    }
-    return sent;
-  }
-
- private:
-  QuotaFleet& m_fleet;
-  std::string m_tenant;
-  double m_per_ms;
-  Random& m_random;
-  double m_due = 0;
-};
-
 /// Returns the admissions of the fleet over those of an ideal counter.
 double AdmittedFraction(const TenantSpec& tenant,
                         double demand_per_second,
@@ -376,11 +336,18 @@
             WindowBound(low, QuotaBounds()));
 }
 
+FleetQuotaHooks IgnoreStore() {
+  FleetQuotaHooks hooks;
+  hooks.write_claim = [](uint64_t) {};
+  hooks.read_latest_list = [] {};
+  return hooks;
+}
+
 // Guards against a lease that the pool VM counts from the answer: the owner may
 // use its share again before.
 TEST(FleetQuotaTest, LeaseEndsATermAfterTheQuestion) {
   std::optional<ShareRequest> question;
-  FleetQuotaHooks hooks;
+  FleetQuotaHooks hooks = IgnoreStore();
   hooks.send = [&](std::string_view, const QuotaMessage& message) {
     if (const auto* request = std::get_if<ShareRequest>(&message.body)) {
       question = *request;
@@ -433,7 +400,7 @@
 // of the list, and has no share meanwhile.
 TEST(FleetQuotaTest, ListedVmsAreAskedBeforeGossipFindsThem) {
   std::vector<std::string> asked;
-  FleetQuotaHooks hooks;
+  FleetQuotaHooks hooks = IgnoreStore();
   hooks.send = [&](std::string_view vm, const QuotaMessage& message) {
     if (std::holds_alternative<ShareRequest>(message.body)) {
       asked.emplace_back(vm);
@@ -441,8 +408,9 @@
   };
   FleetQuota quota("vm-1", 1, QuotaBounds(), hooks, Millis(0));
   quota.SetTenants(std::vector<TenantSpec>{MakeTenant("t", 10, 10)}, Millis(0));
-  const std::vector<std::string> listed = {"vm-1", "vm-2", "vm-3"};
-  quota.OnList(listed, Millis(0), Millis(0));
+  CensusList listed;
+  listed.entries = {{"vm-1", 0}, {"vm-2", 0}, {"vm-3", 0}};
+  quota.OnList(listed, Millis(0));
   quota.SetLive({"vm-2"}, false, Millis(0));
   quota.OnTick(Millis(10));
   EXPECT_EQ(asked, (std::vector<std::string>{"vm-2", "vm-3"}));
@@ -456,7 +424,7 @@
 // Guards against work and messages of deployments without limits.
 TEST(FleetQuotaTest, NothingIsSentWithoutLimits) {
   int sent = 0;
-  FleetQuotaHooks hooks;
+  FleetQuotaHooks hooks = IgnoreStore();
   hooks.send = [&](std::string_view, const QuotaMessage&) { ++sent; };
   FleetQuota quota("vm-1", 1, QuotaBounds(), hooks, Millis(0));
   quota.SetTenants(std::vector<TenantSpec>{MakeTenant("t", 0, 0)}, Millis(0));
--- a/unittests/quota/quota_fleet.h
+++ b/unittests/quota/quota_fleet.h
@@ -4,6 +4,7 @@
 #define TANAGERVANE_UNITTESTS_QUOTA_QUOTA_FLEET_H_
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,6 +16,16 @@
 
 namespace tanagervane {
 
+inline TenantSpec MakeTenant(const std::string& name,
+                             double rate,
+                             double burst) {
+  TenantSpec tenant;
+  tenant.name = name;
+  tenant.rate = rate;
+  tenant.burst = burst;
+  return tenant;
+}
+
 struct QuotaNetwork {
   double loss = 0;
   Millis min_delay{0.2};
@@ -54,7 +65,15 @@
     vm.paused = false;
     vm.next_list = m_now;
     vm.inbox.clear();
+    vm.known_revision = 0;
+    vm.has_written = false;
     FleetQuotaHooks hooks;
+    hooks.write_claim = [this, index, process = vm.process](uint64_t claim) {
+      WriteClaim(index, process, claim);
+    };
+    hooks.read_latest_list = [this, index, process = vm.process] {
+      ReadLatestList(index, process);
+    };
     hooks.send = [this, index](std::string_view to,
                                const QuotaMessage& message) {
       Deliver(index, std::string(to), message);
@@ -67,6 +86,13 @@
     vm.quota->SetTenants(m_tenants, m_now);
   }
 
+  /// Adds a registration whose VM never runs.
+  void Register(std::optional<uint64_t> claim) {
+    m_vms.emplace_back();
+    m_vms.back().id = "vm-" + std::to_string(m_vms.size());
+    m_vms.back().claim = claim;
+  }
+
   void Kill(size_t index) { m_vms[index].running = false; }
   void Pause(size_t index) { m_vms[index].paused = true; }
   /// Messages that arrived in the pause are handled now.
@@ -126,6 +152,7 @@
     while (m_now < end) {
       m_now += Millis(1);
       DeliverDue();
+      RunStore();
       for (Vm& vm : m_vms) {
         Tick(vm);
       }
@@ -160,6 +187,12 @@
     int part = 0;
     Millis next_list;
     std::optional<Millis> config_at;
+    /// The claim in the registration; nullopt for one of an earlier release.
+    std::optional<uint64_t> claim = 0;
+    uint64_t revision = 1;
+    /// The revision that the process knows; 0 if none.
+    uint64_t known_revision = 0;
+    bool has_written = false;
     std::vector<QuotaMessage> inbox;
     std::map<std::string, Millis> last_seen;
   };
@@ -167,6 +200,11 @@
     size_t to = 0;
     QuotaMessage message;
   };
+  struct StoreCall {
+    size_t vm = 0;
+    uint64_t process = 0;
+    std::function<void()> run;
+  };
 
   /// As the intervals of gossip and of reads of the list.
   static constexpr Millis kListInterval{15'000};
@@ -205,6 +243,90 @@
     }
   }
 
+  Millis StoreDelay() { return Millis(1 + 20 * m_random.NextDouble()); }
+
+  /// Runs `task` later unless the process has ended; at once after a pause.
+  void RunLater(size_t index, uint64_t process, std::function<void()> task) {
+    m_store_calls.emplace((m_now + StoreDelay()).count(),
+                          StoreCall{index, process, std::move(task)});
+  }
+
+  /// The write takes effect even if the process ends meanwhile, but only on the
+  /// revision that the process knew. Some writes are late and unanswered.
+  void WriteClaim(size_t index, uint64_t process, uint64_t claim) {
+    Vm& vm = m_vms[index];
+    const uint64_t expected = std::exchange(vm.known_revision, 0);
+    vm.has_written = true;
+    const auto answer = [this, index, process, claim](bool is_written) {
+      RunLater(index, process, [this, index, claim, is_written] {
+        m_vms[index].quota->OnClaimWritten(claim, is_written, m_now);
+      });
+    };
+    if (!vm.reads_list || expected == 0) {
+      answer(false);
+      return;
+    }
+    const bool is_late = m_random.NextBelow(10) == 0;
+    if (is_late) {
+      answer(false);
+    }
+    const Millis delay = is_late ? StoreDelay() * 100 : StoreDelay();
+    m_store_writes.emplace((m_now + delay).count(), [=, this] {
+      Vm& target = m_vms[index];
+      const bool is_written = target.revision == expected;
+      if (is_written) {
+        target.claim = claim;
+        ++target.revision;
+      }
+      if (!is_late) {
+        answer(is_written);
+      }
+    });
+  }
+
+  void ReadLatestList(size_t index, uint64_t process) {
+    if (!m_vms[index].reads_list) {
+      return;
+    }
+    const CensusList list = MakeList(true);
+    RunLater(index, process,
+             [this, index, list, revision = m_vms[index].revision] {
+               m_vms[index].known_revision = revision;
+               m_vms[index].quota->OnList(list, m_now);
+             });
+  }
+
+  CensusList MakeList(bool is_latest) const {
+    CensusList list;
+    for (const Vm& vm : m_vms) {
+      list.entries.push_back({vm.id, vm.claim});
+    }
+    list.is_latest = is_latest;
+    list.requested_at = m_now;
+    return list;
+  }
+
+  void RunStore() {
+    while (!m_store_writes.empty() &&
+           m_store_writes.begin()->first <= m_now.count()) {
+      m_store_writes.extract(m_store_writes.begin()).mapped()();
+    }
+    for (auto it = m_store_calls.begin();
+         it != m_store_calls.end() && it->first <= m_now.count();) {
+      Vm& vm = m_vms[it->second.vm];
+      if (!vm.running || vm.process != it->second.process) {
+        it = m_store_calls.erase(it);
+      } else if (vm.paused) {
+        ++it;
+      } else {
+        const auto run = std::move(it->second.run);
+        m_store_calls.erase(it);
+        run();
+        it = m_store_calls.begin();
+      }
+    }
+  }
+
   void Tick(Vm& vm) {
     if (!vm.running || vm.paused) {
       return;
@@ -229,11 +351,10 @@
     if (!vm.reads_list) {
       return;
     }
-    std::vector<std::string> ids;
-    for (const Vm& other : m_vms) {
-      ids.push_back(other.id);
+    if (vm.known_revision == 0 && !vm.has_written) {
+      vm.known_revision = vm.revision;
     }
-    vm.quota->OnList(ids, m_now, m_now);
+    vm.quota->OnList(MakeList(false), m_now);
   }
 
   std::vector<std::string> LiveOthers(Vm& vm) {
@@ -271,6 +392,8 @@
   Millis m_now{0};
   std::vector<Vm> m_vms;
   std::multimap<double, InFlight> m_in_flight;
+  std::multimap<double, std::function<void()>> m_store_writes;
+  std::multimap<double, StoreCall> m_store_calls;
   std::map<uint64_t, std::string> m_waiting;
   std::map<std::string, std::vector<Millis>> m_admitted;
   uint64_t m_last_request = 0;
@@ -279,6 +402,38 @@
   double m_return_odds = 0;
 };
 
+/// Sends requests of a tenant as a Poisson process.
+class Demand {
+ public:
+  Demand(QuotaFleet& fleet,
+         std::string tenant,
+         double per_second,
+         Random& random)
+      : m_fleet(fleet),
+        m_tenant(std::move(tenant)),
+        m_per_ms(per_second / 1000),
+        m_random(random) {}
+
+  /// Sends the requests of one millisecond to VMs in [first, first + count).
+  /// Returns their number.
+  int Step(size_t first, size_t count) {
+    int sent = 0;
+    for (m_due += m_per_ms * -std::log(1 - m_random.NextDouble()); m_due >= 1;
+         m_due -= 1) {
+      m_fleet.Send(first + m_random.NextBelow(count), m_tenant);
+      ++sent;
+    }
+    return sent;
+  }
+
+ private:
+  QuotaFleet& m_fleet;
+  std::string m_tenant;
+  double m_per_ms;
+  Random& m_random;
+  double m_due = 0;
+};
+
 /// The bound on the admissions of a tenant in a window.
 inline double WindowBound(const TenantSpec& tenant, const QuotaBounds& bounds) {
   const double window_s = bounds.window / Millis(1000);
