Treat a response as broken off when send() has taken the reset off the socket

Cause: after the reset, send() fails with the socket's error and clears it, so recv() reports an orderly end. Write() left the report to Read().

Change: HttpConnection keeps the error of send(). An end of stream after it is no end of a response.

--- a/include/tanagervane/net/http_connection.h
+++ b/include/tanagervane/net/http_connection.h
@@ -96,6 +96,8 @@
   void OnEvents(uint32_t events);
   void Read();
   void OnEndOfStream();
+  /// Whether the connection was reset before the peer ended its response.
+  bool IsReset() const;
   void ParseResponses();
   void Write();
   /// Returns the error for a connection lost while a request is in flight.
@@ -116,6 +118,9 @@
   bool m_connected = false;
   bool m_reusable = true;
   bool m_has_received = false;
+  /// Why send() failed; 0 if it did not. It takes the error off the socket, so
+  /// that recv() reports the end of the stream after it.
+  int m_send_error = 0;
   std::string m_output;
   std::shared_ptr<const std::string> m_body;
   size_t m_body_sent = 0;
--- a/lib/net/http_connection.cc
+++ b/lib/net/http_connection.cc
@@ -126,8 +126,13 @@
       if (errno == EINTR) {
         continue;
       }
+      if (errno == EAGAIN) {
+        SetEvents(EPOLLIN | EPOLLOUT);
+        return;
+      }
       // Read() reports a lost connection, so `done` never runs inside Send().
-      SetEvents(errno == EAGAIN ? EPOLLIN | EPOLLOUT : EPOLLIN);
+      m_send_error = errno;
+      SetEvents(EPOLLIN);
       return;
     }
     const auto sent = static_cast<size_t>(count);
@@ -188,7 +193,7 @@
 
 void HttpConnection::OnEndOfStream() {
   m_reusable = false;
-  if (m_reader->ParseEndOfStream() != ReadState::kComplete) {
+  if (IsReset() || m_reader->ParseEndOfStream() != ReadState::kComplete) {
     Fail(ConnectionLostError());
     return;
   }
@@ -200,6 +205,11 @@
   Finish({std::nullopt, std::move(response)});
 }
 
+bool HttpConnection::IsReset() const {
+  // EPIPE: the peer had ended its response in order before the reset.
+  return m_send_error != 0 && m_send_error != EPIPE;
+}
+
 void HttpConnection::ParseResponses() {
   while (true) {
     const ReadState state = m_reader->Parse(m_input);
