--- a/lib/net/event_loop.cc
+++ b/lib/net/event_loop.cc
@@ -4,6 +4,7 @@
 
 #include <glib-unix.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <memory>
@@ -13,6 +14,9 @@
 
 namespace {
 
+/// GLib takes delays as 32-bit numbers of milliseconds.
+constexpr Millis kMaxDelay{4e9};
+
 struct TimerTask {
   EventLoop::Task task;
   bool repeat;
@@ -29,7 +33,9 @@
 }
 
 EventLoop::TimerId AddTimer(Millis delay, EventLoop::Task task, bool repeat) {
-  const double delay_ms = delay.count() < 0 ? 0 : delay.count();
+  // Written so that a delay that is no number counts as none.
+  const double delay_ms =
+      delay > Millis(0) ? std::min(delay, kMaxDelay).count() : 0;
   auto* timer = new TimerTask{std::move(task), repeat};
   // Rounded up so that a timer never fires early.
   const auto interval = static_cast<guint>(delay_ms + 0.999);
--- a/lib/serving/dispatcher_admission.cc
+++ b/lib/serving/dispatcher_admission.cc
@@ -91,7 +91,9 @@
   const RouteSpec& spec = route->spec;
   const Millis time_left =
       std::min(caller_request->time_left.value_or(spec.timeout), spec.timeout);
-  if (time_left < kMinTimeLeft) {
+  // Written so that a time limit that is no number is refused, too: it must not
+  // become a key of m_timers.
+  if (!(time_left >= kMinTimeLeft)) {
     Refuse(key, *caller_request, AnswerKind::kRefused, AnswerReason::kExpired,
            kShortRetryAfter, route);
     return;
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -294,6 +294,28 @@
   EXPECT_FALSE(DecodeCallerRequest(deadline).ok());
 }
 
+// Guards against time limits that are no finite number: timers are ordered by
+// them.
+TEST(CallerCodecTest, TimeLimitsAreFinite) {
+  const auto decode = [](const char* text) {
+    HttpRequestMessage message;
+    message.target = "/";
+    message.fields.Add("Host", "h");
+    message.fields.Add("Deadline", text);
+    return DecodeCallerRequest(std::move(message));
+  };
+  for (const char* text : {"nan", "NaN", "-nan", "nan(1)", "inf", "-inf",
+                           "infinity", "1e400", "", " 5", "5 ", "0x5", "5ms"}) {
+    EXPECT_FALSE(decode(text).ok()) << text;
+  }
+  const Millis day{86'400'000};
+  EXPECT_EQ(decode("1e308")->time_left, day);
+  EXPECT_EQ(decode("86400001")->time_left, day);
+  EXPECT_EQ(decode("86400000")->time_left, day);
+  EXPECT_EQ(decode("0.5")->time_left, Millis(0.5));
+  EXPECT_EQ(decode("-1e308")->time_left, Millis(0));
+}
+
 TEST(CallerCodecTest, AnswersCarryWireFields) {
   FinalAnswer answer;
   answer.kind = AnswerKind::kMerged;
--- a/unittests/serving/dispatcher_test.cc
+++ b/unittests/serving/dispatcher_test.cc
@@ -3,6 +3,7 @@
 #include "dispatcher_harness.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 #include "gtest/gtest.h"
@@ -68,6 +69,19 @@
   EXPECT_EQ(h.answers[0].kind, AnswerKind::kTimedOut);
 }
 
+// Guards against a time limit that is no number, which dropped the timers of
+// all running requests.
+TEST(DispatcherTest, NanTimeLimitLeavesOtherTimers) {
+  Harness h;
+  h.Submit("/one/x");
+  h.Submit("/one/x", Millis(std::numeric_limits<double>::quiet_NaN()));
+  ASSERT_EQ(h.answers.size(), 1);
+  EXPECT_EQ(h.answers[0].kind, AnswerKind::kRefused);
+  h.Advance(Millis(5000));
+  ASSERT_EQ(h.answers.size(), 2);
+  EXPECT_EQ(h.answers[1].kind, AnswerKind::kTimedOut);
+}
+
 // Guards against answers that are sent too early after a configuration
 // shortened the route's timeout: the shorter time left was taken for a caller's
 // retry (journal 20261204T082314).
