Pass over holders that can't give up memory instead of aborting

Cause: reclaiming asked idle connections, which count with their empty buffers, answered 503 and kept them. An assertion that a holder frees something ended the process. Incomplete headers of 512 to 1,024 bytes reached it as well.

Change: Reclaim() passes over such holders. Idle connections free their buffers and stay open; refused requests free their input.

--- a/include/tanagervane/net/memory_account.h
+++ b/include/tanagervane/net/memory_account.h
@@ -59,7 +59,9 @@
   static constexpr size_t kUses = 4;
 
   /// Returns the holder that gives up its memory next, or nullptr.
-  MemoryCharge* FindVictim(bool include_progressing) const;
+  MemoryCharge* FindVictim(
+      bool include_progressing,
+      const std::unordered_set<const MemoryCharge*>& passed_over) const;
 
   size_t m_limit;
   std::array<size_t, kUses> m_held{};
@@ -73,8 +75,8 @@
   /// Returns whether the holder's peer took or sent bytes a short time ago.
   /// Such a holder of output gives up its memory last.
   std::function<bool()> is_progressing;
-  /// Gives up the memory. Set() must have been called with a smaller amount, or
-  /// the charge destroyed, when it returns.
+  /// Gives up the memory as far as possible. Set() must have been called with
+  /// what is left, or the charge destroyed, when it returns.
   std::function<void()> reclaim;
 };
 
--- a/lib/net/listener_connection.cc
+++ b/lib/net/listener_connection.cc
@@ -410,6 +410,12 @@
 
 void HttpListener::Connection::ReclaimMemory() {
   const Scope scope(*this);
+  if (idle()) {
+    // It holds nothing but the buffers of earlier requests.
+    std::string().swap(m_input);
+    std::string().swap(m_output);
+    return;
+  }
   if (m_discarding || !m_output.empty()) {
     ++m_listener.m_stats.closed_for_memory;
     m_listener.CloseConnection(m_id);
@@ -418,6 +424,10 @@
   ++m_listener.m_stats.refused_for_memory;
   m_is_head_request = false;
   RefuseRequest(NoMemoryResponse());
+  std::string().swap(m_input);
+  if (m_output.empty()) {
+    std::string().swap(m_output);
+  }
 }
 
 void HttpListener::Connection::UpdateCharge() {
--- a/unittests/net/listener_limits_test.cc
+++ b/unittests/net/listener_limits_test.cc
@@ -178,6 +178,43 @@
   EXPECT_LT(m_account.held(), 10'000u);
 }
 
+// Guards against an abort while running requests fill the memory, when idle
+// connections and incomplete headers hold too little to help, and against idle
+// connections that are closed or get an answer to no request.
+TEST_F(ListenerLimitsTest, IdleConnectionsGiveUpTheirBuffersOnly) {
+  std::vector<int> idle;
+  const std::string long_path(700, 'p');
+  for (int i = 0; i < 12; ++i) {
+    idle.push_back(
+        Connect(fmt::format("GET /{} HTTP/1.1\r\nHost: h\r\n\r\n", long_path)));
+    EXPECT_TRUE(Receive(idle.back()).starts_with("HTTP/1.1 200"));
+  }
+  std::vector<int> incomplete;
+  for (int i = 0; i < 4; ++i) {
+    incomplete.push_back(Connect("GET /" + long_path));
+  }
+  m_responds = false;
+  m_account.SetLimit(3 * kBodyBytes);
+  Connect(Post("/x", kBodyBytes));
+  Connect(Post("/x", kBodyBytes));
+  ASSERT_EQ(m_exchanges.size(), idle.size() + 2);
+  // What runs now is more than the limit.
+  m_account.SetLimit(kBodyBytes);
+  Connect(Post("/x", kBodyBytes - 1));
+  RunFor(Millis(10));
+  // Less than 512 bytes each are left.
+  EXPECT_LT(m_account.held(MemoryUse::kInput), 4'000u);
+  // The running requests are less than half of this.
+  m_account.SetLimit(8 * kBodyBytes);
+  m_responds = true;
+  for (const int caller : idle) {
+    EXPECT_EQ(Receive(caller), "");
+    EXPECT_GT(send(caller, kGetRequest.data(), kGetRequest.size(), 0), 0);
+    RunFor(Millis(2));
+    EXPECT_TRUE(Receive(caller).starts_with("HTTP/1.1 200"));
+  }
+}
+
 // Guards against headers of very many short fields, whose parsed form takes far
 // more memory than their text.
 TEST_F(ListenerLimitsTest, ParsedFieldsAreCounted) {
--- a/unittests/net/memory_account_test.cc
+++ b/unittests/net/memory_account_test.cc
@@ -66,6 +66,24 @@
   EXPECT_EQ(m_account.held(MemoryUse::kRunning), 150'000u);
 }
 
+// Guards against an abort, and against an end of the search, when a holder
+// cannot give up what it holds.
+TEST_F(MemoryAccountTest, HolderThatGivesNothingIsPassedOver) {
+  size_t asked = 0;
+  MemoryCharge stubborn(
+      &m_account, kPeer,
+      {.is_progressing = [] { return false; }, .reclaim = [&] { ++asked; }});
+  stubborn.Set(MemoryUse::kInput, 60'000);
+  Add("other", kOtherPeer, MemoryUse::kInput, 50'000);
+  m_account.Reclaim();
+  EXPECT_EQ(asked, 1u);
+  EXPECT_EQ(m_reclaimed, std::vector<std::string>{"other"});
+  Add("running", kPeer, MemoryUse::kRunning, 90'000);
+  m_account.Reclaim();
+  EXPECT_EQ(asked, 2u);
+  EXPECT_EQ(m_account.held(), 150'000u);
+}
+
 // Guards against callers that read their responses and lose them to callers
 // that don't.
 TEST_F(MemoryAccountTest, ResponsesBeingReadAreGivenUpLast) {
