Let no text from outside end a line of a request

Cause: the name was written into Target-Instance as it is.

Change: AppendField() and AppendRequestLine() write all lines of requests and responses and replace or escape what could end them. An entry whose name can't be the value of a field names no replica.

--- a/include/tanagervane/http/message.h
+++ b/include/tanagervane/http/message.h
@@ -63,6 +63,22 @@
 /// Returns the reason phrase of a status code, or "Status" if it is unknown.
 std::string_view ReasonPhrase(unsigned status);
 
+/// Returns whether a text can be the value of a field: it is not empty or
+/// padded, and no character in it ends a line.
+bool IsFieldValue(std::string_view text);
+
+/// Appends the line of a field to `out`. The only way to write one: characters
+/// that could end the line are replaced by '?', wherever the value comes from.
+void AppendField(std::string& out,
+                 std::string_view name,
+                 std::string_view value);
+
+/// Appends a request line to `out`. Characters that could end the target are
+/// escaped as %XX.
+void AppendRequestLine(std::string& out,
+                       std::string_view method,
+                       std::string_view target);
+
 /// Appends a serialised response to `out`, with a Content-Length field.
 /// `head_only` omits the body and its length, as for a HEAD request.
 void AppendResponse(std::string& out,
--- a/lib/http/message.cc
+++ b/lib/http/message.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cstddef>
+#include <iterator>
 #include <utility>
 
 #include "fmt/format.h"
@@ -12,6 +14,12 @@
 
 namespace {
 
+/// Returns whether a character may end a line or a target.
+bool IsControl(char c) {
+  constexpr char kDelete = 0x7f;
+  return static_cast<unsigned char>(c) < ' ' || c == kDelete;
+}
+
 char ToLower(char c) {
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
@@ -105,6 +113,40 @@
   return "Status";
 }
 
+bool IsFieldValue(std::string_view text) {
+  return !text.empty() && text.front() != ' ' && text.back() != ' ' &&
+         std::ranges::none_of(text, [](char c) { return IsControl(c); });
+}
+
+void AppendField(std::string& out,
+                 std::string_view name,
+                 std::string_view value) {
+  out += name;
+  out += ": ";
+  const auto begin = static_cast<ptrdiff_t>(out.size());
+  out += value;
+  std::replace_if(
+      out.begin() + begin, out.end(),
+      [](char c) { return IsControl(c) && c != '\t'; }, '?');
+  out += "\r\n";
+}
+
+void AppendRequestLine(std::string& out,
+                       std::string_view method,
+                       std::string_view target) {
+  out += method;
+  out += ' ';
+  for (const char c : target) {
+    if (IsControl(c) || c == ' ') {
+      fmt::format_to(std::back_inserter(out), "%{:02X}",
+                     static_cast<unsigned char>(c));
+    } else {
+      out += c;
+    }
+  }
+  out += " HTTP/1.1\r\n";
+}
+
 void AppendResponse(std::string& out,
                     const HttpResponseMessage& response,
                     bool close_connection,
@@ -112,10 +154,7 @@
   fmt::format_to(std::back_inserter(out), "HTTP/1.1 {} {}\r\n", response.status,
                  ReasonPhrase(response.status));
   for (const HttpField& field : response.fields.all()) {
-    out += field.name;
-    out += ": ";
-    out += field.value;
-    out += "\r\n";
+    AppendField(out, field.name, field.value);
   }
   const bool has_body = response.status != 204 && response.status != 304;
   if (has_body && !head_only) {
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -132,6 +132,19 @@
   EXPECT_FALSE(DecodeReplica({"i", 1, address}).ok());
 }
 
+// Guards against an entry of another writer whose name, written into a header,
+// ends it: the replica would run requests without their bodies, or requests
+// that nobody sent.
+TEST(ReplicaRegistrationTest, NamesThatBreakAHeaderNameNoReplica) {
+  for (const std::string name :
+       {"i-1\n", "i-1\r", "\r\ni-1", "i-1\r\n\r\nGET / HTTP/1.1\r\n\r\n", "",
+        " i-1", "i-1 ", "i\t1", "i\x7f"}) {
+    EXPECT_FALSE(DecodeReplica({name, 1, ReplicaJson()}).ok()) << name;
+  }
+  EXPECT_FALSE(DecodeReplica({std::string("i\0j", 3), 1, ReplicaJson()}).ok());
+  EXPECT_TRUE(DecodeReplica({"i 1/ü", 1, ReplicaJson()}).ok());
+}
+
 TEST(StoreCodecTest, PagesAndEventsAreDecoded) {
   const auto page =
       DecodePage(R"({"items":[{"meta":{"name":"a","rev":3},"spec":{"x":1}}],)"
@@ -384,6 +397,26 @@
   EXPECT_EQ(load->slots, 8u);
 }
 
+// Guards against text from outside that ends a line of a request, should a
+// decoder let it pass.
+TEST_F(ReplyTest, NoTextEndsALineOfARequest) {
+  CallerRequest request = *DecodeCallerRequest(MakeRequest());
+  request.target = "/a b\r\nX: 1";
+  request.tenant = "t\nX: 2";
+  OutgoingAttempt attempt;
+  attempt.request = std::make_shared<const CallerRequest>(request);
+  attempt.replica = std::make_shared<ServingReplica>();
+  attempt.replica->registration.id = "i\r\n\r\n";
+  attempt.time_left = Millis(100);
+  const std::string bytes = EncodeAttempt(attempt).bytes;
+  EXPECT_TRUE(bytes.starts_with("GET /a%20b%0D%0AX:%201 HTTP/1.1\r\n"))
+      << bytes;
+  EXPECT_NE(bytes.find("\r\nTenant: t?X: 2\r\n"), std::string::npos) << bytes;
+  EXPECT_NE(bytes.find("\r\nTarget-Instance: i????\r\n"), std::string::npos)
+      << bytes;
+  EXPECT_EQ(bytes.find("\r\n\r\n") + 4, bytes.size()) << bytes;
+}
+
 // Guards against losing the load of services that state how long work takes,
 // and against accepting a malformed report.
 TEST_F(ReplyTest, LoadReportMayStateTheWorkTime) {
