Read the latest list of VMs only when a claim depends on it

Cause: a VM without a share read the latest list at growing intervals also while it waited to write its first claim.

--- a/include/tanagervane/quota/fleet_quota.h
+++ b/include/tanagervane/quota/fleet_quota.h
@@ -32,7 +32,8 @@
 /// its share: after a start, requests are refused until then.
 inline constexpr Millis kUnsettledRoundInterval{125};
 
-/// The shortest delay between reads of the latest list.
+/// The shortest delay between reads of the latest list, and before the first
+/// one: each VM reads a stale list at its start anyway.
 inline constexpr Millis kMinListDelay{500};
 
 struct FleetQuotaHooks {
--- a/lib/quota/fleet_census.cc
+++ b/lib/quota/fleet_census.cc
@@ -231,11 +231,18 @@
 }
 
 bool FleetCensus::NeedsLatestList(Millis now) const {
-  const bool owns_little =
-      m_divisor == 0 || static_cast<double>(m_divisor) >=
-                            kMinGrowth * static_cast<double>(Count(now));
-  return !m_is_writing && m_verified == 0 &&
-         (!m_knows_claim || owns_little || MayGrow());
+  if (m_is_writing || m_verified > 0) {
+    return false;
+  }
+  if (!m_knows_claim || MayGrow()) {
+    return true;
+  }
+  if (m_divisor == 0) {
+    // Otherwise a claim is written first.
+    return m_claim == 0 && !FreeDivisor(now);
+  }
+  return static_cast<double>(m_divisor) >=
+         kMinGrowth * static_cast<double>(Count(now));
 }
 
 void FleetCensus::Shrink(Millis now) {
--- a/lib/quota/fleet_quota.cc
+++ b/lib/quota/fleet_quota.cc
@@ -47,7 +47,7 @@
       m_round_nonce(Random(seed).Next()),
       m_next_round(now),
       m_census_updated_at(now),
-      m_next_list(now),
+      m_next_list(now + kMinListDelay),
       m_list_delay(kMinListDelay) {
   ChoosePools(now);
 }
