Give up the share of a VM that removes its registration

Cause: a VM that stops removes its registration at once and uses its share, or lends it, until it ends. A VM that starts meanwhile finds no claim of it and takes the share as well. With statements this was so, too.

Change: it owns nothing from then on, unless it is the only VM. Its leases end before a VM that starts may use the share.

--- a/include/tanagervane/quota/fleet_census.h
+++ b/include/tanagervane/quota/fleet_census.h
@@ -74,6 +74,10 @@
                    const CensusStatement& statement,
                    Millis now);
 
+  /// Stops owning a share, for good: this VM removes its registration, and one
+  /// that starts from then on may take the share.
+  void Leave();
+
   /// Sets the VMs that gossip considers alive.
   void SetLive(std::span<const std::string> live);
 
@@ -155,6 +159,7 @@
   uint64_t m_claim = 0;
   /// When the registration was last known to hold m_claim.
   Millis m_claimed_at;
+  bool m_is_leaving = false;
   bool m_is_writing = false;
   /// Whether m_claim was read or written since this VM last lost track of it.
   bool m_knows_claim = false;
--- a/lib/quota/fleet_census.cc
+++ b/lib/quota/fleet_census.cc
@@ -101,6 +101,12 @@
   entry.stated_at = now;
 }
 
+void FleetCensus::Leave() {
+  m_is_leaving = true;
+  m_divisor = 0;
+  m_verified = 0;
+}
+
 void FleetCensus::SetLive(std::span<const std::string> live) {
   m_live = {live.begin(), live.end()};
 }
@@ -173,7 +179,8 @@
 }
 
 bool FleetCensus::MayGrow() const {
-  return m_is_written && m_claim > 0 && (m_divisor == 0 || m_claim < m_divisor);
+  return !m_is_leaving && m_is_written && m_claim > 0 &&
+         (m_divisor == 0 || m_claim < m_divisor);
 }
 
 uint64_t FleetCensus::WantedClaim(Millis now) const {
@@ -188,7 +195,7 @@
 }
 
 std::optional<uint64_t> FleetCensus::TakeClaimToWrite(Millis now) {
-  if (m_is_writing || !m_knows_claim) {
+  if (m_is_leaving || m_is_writing || !m_knows_claim) {
     return std::nullopt;
   }
   const uint64_t wanted = WantedClaim(now);
@@ -231,7 +238,7 @@
 }
 
 bool FleetCensus::NeedsLatestList(Millis now) const {
-  if (m_is_writing || m_verified > 0) {
+  if (m_is_leaving || m_is_writing || m_verified > 0) {
     return false;
   }
   if (!m_knows_claim || MayGrow()) {
--- a/lib/quota/fleet_quota_shares.cc
+++ b/lib/quota/fleet_quota_shares.cc
@@ -45,6 +45,11 @@
     m_live = std::move(others);
     m_is_leaving = is_leaving;
     m_census.SetLive(m_live);
+    if (m_is_leaving && m_census.Count(now) > 1) {
+      // The others grant the permits from now on.
+      m_census.Leave();
+      UpdateOwnedShare(now);
+    }
     ChoosePools(now);
   }
 }
--- a/tools/tanagervane-node/node_lifecycle.cc
+++ b/tools/tanagervane-node/node_lifecycle.cc
@@ -65,6 +65,7 @@
   m_peers.SetState(PeerState::kLeaving);
   m_gossip.Announce(now);
   m_caller_listener.CloseAfterResponses();
+  UpdateQuotaPeers(m_peers.Peers(now));
   m_registry.Deregister();
   const Millis accept_until =
       m_settings.address_lifetime * kMaxAddressLifetimes + kLeaveGossipDelay;
--- a/unittests/quota/lost_vms_test.cc
+++ b/unittests/quota/lost_vms_test.cc
@@ -164,6 +164,18 @@
   EXPECT_TRUE(plays.HoldsBound());
 }
 
+// Guards against a VM that removes its registration and still uses its share,
+// which a VM that starts then takes as well.
+TEST(LostVmsTest, ReplacementStartsWhileTheOldVmDrains) {
+  LostVms plays(3, 16);
+  plays.fleet().Leave(0);
+  plays.Replace(1);
+  plays.Run(Millis(6000));
+  plays.Lose(1);
+  EXPECT_GE(plays.ServedAfterRecovery(), 0.6);
+  EXPECT_TRUE(plays.HoldsBound());
+}
+
 // Guards against a registration that nobody owns, which would block the others.
 TEST(LostVmsTest, StrayRegistrations) {
   LostVms plays(3, 15);
@@ -179,7 +191,7 @@
   Random random(*rc::gen::arbitrary<uint64_t>());
   LostVms plays(2 + random.NextBelow(5), random.Next());
   for (int i = 0; i < 10; ++i) {
-    switch (random.NextBelow(6)) {
+    switch (random.NextBelow(7)) {
       case 0:
         plays.Lose(random.NextBelow(plays.used().size()));
         break;
@@ -194,6 +206,11 @@
             plays.used()[random.NextBelow(plays.used().size())]);
         break;
       case 4:
+        plays.fleet().Leave(
+            plays.used()[random.NextBelow(plays.used().size())]);
+        plays.Replace(1);
+        break;
+      case 5:
         for (const size_t vm : plays.used()) {
           plays.fleet().SetPart(vm, static_cast<int>(random.NextBelow(2)));
         }
--- a/unittests/quota/quota_fleet.h
+++ b/unittests/quota/quota_fleet.h
@@ -61,6 +61,10 @@
   void Start(size_t index) {
     Vm& vm = m_vms[index];
     ++vm.process;
+    if (std::exchange(vm.leaving, false)) {
+      vm.claim = 0;
+      ++vm.revision;
+    }
     vm.running = true;
     vm.paused = false;
     vm.next_list = m_now;
@@ -93,6 +97,14 @@
     m_vms.back().claim = claim;
   }
 
+  /// Stops a VM gracefully: it removes its registration and runs on until it is
+  /// killed or started again.
+  void Leave(size_t index) {
+    Vm& vm = m_vms[index];
+    vm.leaving = true;
+    vm.quota->SetLive(LiveOthers(vm), true, m_now);
+  }
+
   void Kill(size_t index) { m_vms[index].running = false; }
   void Pause(size_t index) { m_vms[index].paused = true; }
   /// Messages that arrived in the pause are handled now.
@@ -183,6 +195,7 @@
     uint64_t process = 0;
     bool running = false;
     bool paused = false;
+    bool leaving = false;
     bool reads_list = true;
     int part = 0;
     Millis next_list;
@@ -273,7 +286,7 @@
     const Millis delay = is_late ? StoreDelay() * 100 : StoreDelay();
     m_store_writes.emplace((m_now + delay).count(), [=, this] {
       Vm& target = m_vms[index];
-      const bool is_written = target.revision == expected;
+      const bool is_written = target.revision == expected && !target.leaving;
       if (is_written) {
         target.claim = claim;
         ++target.revision;
@@ -299,7 +312,9 @@
   CensusList MakeList(bool is_latest) const {
     CensusList list;
     for (const Vm& vm : m_vms) {
-      list.entries.push_back({vm.id, vm.claim});
+      if (!vm.leaving) {
+        list.entries.push_back({vm.id, vm.claim});
+      }
     }
     list.is_latest = is_latest;
     list.requested_at = m_now;
@@ -340,7 +355,7 @@
       ReadList(vm);
     }
     if (static_cast<int64_t>(m_now.count()) % 50 == 0) {
-      vm.quota->SetLive(LiveOthers(vm), false, m_now);
+      vm.quota->SetLive(LiveOthers(vm), vm.leaving, m_now);
     }
     if (const auto next = vm.quota->NextTimer(); next && *next <= m_now) {
       vm.quota->OnTick(m_now);
@@ -363,7 +378,8 @@
       if (&other == &vm) {
         continue;
       }
-      if (other.running && !other.paused && other.part == vm.part) {
+      if (other.running && !other.paused && !other.leaving &&
+          other.part == vm.part) {
         vm.last_seen[other.id] = m_now;
       }
       const auto seen = vm.last_seen.find(other.id);
