Keep the delay between reads of the list short while the store does not answer

Cause: a VM that has no share reads the latest list at doubling intervals up to 16 s, also while the store does not answer. After an outage it owned a share up to 16 s after the store was back, longer than recoveryS allows. Found by reading.

Change: only lists that were read lengthen the delay. While the store is known to be unreachable nothing is called.

--- a/include/tanagervane/quota/fleet_quota.h
+++ b/include/tanagervane/quota/fleet_quota.h
@@ -36,12 +36,17 @@
 /// one: each VM reads a stale list at its start anyway.
 inline constexpr Millis kMinListDelay{500};
 
+/// The delay doubles up to this one while lists are read and the other VMs
+/// leave no share. It does not while the store does not answer.
+inline constexpr Millis kMaxListDelay{16'000};
+
 struct FleetQuotaHooks {
   /// Sends a message to another VM. It may be lost.
   std::function<void(std::string_view vm, const QuotaMessage&)> send;
   /// Writes this VM's claim to its registration. OnClaimWritten() must follow.
   std::function<void(uint64_t claim)> write_claim;
-  /// Reads the latest list of VMs. OnList() follows if that succeeds.
+  /// Reads the latest list of VMs, if the store can be reached. OnList()
+  /// follows if that succeeds.
   std::function<void()> read_latest_list;
   /// Reports the decision on a request for which Ask() returned kPending.
   std::function<void(uint64_t request, const PermitDecision&)> on_permit;
--- a/lib/quota/fleet_quota.cc
+++ b/lib/quota/fleet_quota.cc
@@ -28,10 +28,6 @@
 /// A pool VM that does not answer is asked again after this time.
 constexpr Millis kSilenceDuration{300};
 
-/// The delay between reads of the latest list doubles up to this one while the
-/// other VMs leave no share.
-constexpr Millis kMaxListDelay{16'000};
-
 }  // namespace
 
 FleetQuota::FleetQuota(std::string self,
@@ -244,7 +240,6 @@
   }
   if (m_census.NeedsLatestList(now) && now >= m_next_list) {
     m_next_list = now + m_list_delay;
-    m_list_delay = std::min(m_list_delay * 2, kMaxListDelay);
     m_hooks.read_latest_list();
   }
 }
--- a/lib/quota/fleet_quota_shares.cc
+++ b/lib/quota/fleet_quota_shares.cc
@@ -32,6 +32,10 @@
 void FleetQuota::OnList(const CensusList& list, Millis now) {
   Advance(now);
   m_census.OnList(list, now);
+  if (list.is_latest) {
+    m_list_delay = std::min(m_list_delay * 2, kMaxListDelay);
+    m_next_list = std::max(m_next_list, now + m_list_delay);
+  }
   UpdateOwnedShare(now);
   if (enabled()) {
     UpdateClaim(now);
--- a/tools/tanagervane-node/node_quota.cc
+++ b/tools/tanagervane-node/node_quota.cc
@@ -22,7 +22,12 @@
       m_quota->OnClaimWritten(claim, is_written, BootNow());
     });
   };
-  hooks.read_latest_list = [this] { m_registry.ReadLatest(Poller::Now()); };
+  hooks.read_latest_list = [this] {
+    // Each call is priced, also one that an unreachable store refuses.
+    if (m_config_watcher->reachable()) {
+      m_registry.ReadLatest(Poller::Now());
+    }
+  };
   hooks.on_permit = [this](uint64_t request, const PermitDecision& decision) {
     m_dispatcher.OnPermit(request, decision, Poller::Now());
   };
--- a/unittests/quota/lost_vms_test.cc
+++ b/unittests/quota/lost_vms_test.cc
@@ -176,6 +176,24 @@
   EXPECT_TRUE(plays.HoldsBound());
 }
 
+// Guards against a fleet that waits ever longer for the store, and so for long
+// after the store is back.
+TEST(LostVmsTest, ServesSoonAfterAnOutageOfTheStore) {
+  LostVms plays(3, 17);
+  plays.RestartAll();
+  for (const size_t vm : plays.used()) {
+    plays.fleet().SetReadsList(vm, false);
+  }
+  plays.Run(Millis(40'000));
+  for (const size_t vm : plays.used()) {
+    plays.fleet().SetReadsList(vm, true);
+  }
+  plays.Run(Millis(3000));
+  for (const size_t vm : plays.used()) {
+    EXPECT_GT(plays.fleet().quota(vm).owned_share(), 0);
+  }
+}
+
 // Guards against a registration that nobody owns, which would block the others.
 TEST(LostVmsTest, StrayRegistrations) {
   LostVms plays(3, 15);
