Use FreeBuffers(), one parser without a range and one encoder of registrations

Found by reading the whole change again; behaviour stays as it is: - an idle connection frees its memory by FreeBuffers(), which did the same already; - ParseDecimal() only parses.

quota, net, fleet, platform, serving and edge unit tests pass (42, 72, 64, 44, 144 and 14), assertions unchanged.

--- a/include/tanagervane/quota/fleet_census.h
+++ b/include/tanagervane/quota/fleet_census.h
@@ -88,7 +88,7 @@
   void OnClaimWritten(uint64_t claim, bool is_written, Millis now);
 
   /// Records that the store may have lost the claim that it has acknowledged.
-  void OnStoreRestored(Millis now);
+  void OnStoreRestored(Millis now) { ForgetClaim(now); }
 
   /// The latest claim that this VM has written; 0 if none.
   uint64_t claim() const { return m_claim; }
@@ -135,6 +135,8 @@
   /// Uses the share that the latest list has left for long enough.
   void Grow(Millis now);
   void ReadOwnClaim(const CensusList& list);
+  /// Requires that the claim is read, written and verified again.
+  void ForgetClaim(Millis now);
   /// Finds the share that the latest list leaves beside the written claim.
   void Verify(const CensusList& list, Millis now);
   /// Whether the written claim allows a greater share than the owned one.
--- a/include/tanagervane/quota/fleet_quota.h
+++ b/include/tanagervane/quota/fleet_quota.h
@@ -36,10 +36,6 @@
 /// one: each VM reads a stale list at its start anyway.
 inline constexpr Millis kMinListDelay{500};
 
-/// The delay doubles up to this one while lists are read and the other VMs
-/// leave no share. It does not while the store does not answer.
-inline constexpr Millis kMaxListDelay{16'000};
-
 struct FleetQuotaHooks {
   /// Sends a message to another VM. It may be lost.
   std::function<void(std::string_view vm, const QuotaMessage&)> send;
--- a/include/tanagervane/support/decimal.h
+++ b/include/tanagervane/support/decimal.h
@@ -3,7 +3,6 @@
 #ifndef TANAGERVANE_SUPPORT_DECIMAL_H_
 #define TANAGERVANE_SUPPORT_DECIMAL_H_
 
-#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <optional>
@@ -11,19 +10,17 @@
 
 namespace tanagervane {
 
-/// Parses a text that holds nothing but a finite decimal number. A number
-/// outside of [min, max] counts as the nearest bound. Returns nullopt for other
-/// texts, also "nan" and "inf", which std::from_chars accepts.
-inline std::optional<double> ParseDecimal(std::string_view text,
-                                          double min,
-                                          double max) {
+/// Parses a text that holds nothing but a finite decimal number. Returns
+/// nullopt for other texts, also "nan" and "inf", which std::from_chars
+/// accepts.
+inline std::optional<double> ParseDecimal(std::string_view text) {
   double number = 0;
   const char* end = text.data() + text.size();
   const auto [next, error] = std::from_chars(text.data(), end, number);
   if (error != std::errc() || next != end || !std::isfinite(number)) {
     return std::nullopt;
   }
-  return std::clamp(number, min, max);
+  return number;
 }
 
 }  // namespace tanagervane
--- a/lib/net/listener_connection.cc
+++ b/lib/net/listener_connection.cc
@@ -412,8 +412,7 @@
   const Scope scope(*this);
   if (idle()) {
     // It holds nothing but the buffers of earlier requests.
-    std::string().swap(m_input);
-    std::string().swap(m_output);
+    FreeBuffers();
     return;
   }
   if (m_discarding || !m_output.empty()) {
--- a/lib/quota/fleet_census.cc
+++ b/lib/quota/fleet_census.cc
@@ -229,7 +229,7 @@
   m_knows_claim = is_written;
 }
 
-void FleetCensus::OnStoreRestored(Millis now) {
+void FleetCensus::ForgetClaim(Millis now) {
   m_claimed_at = now;
   m_is_written = false;
   m_knows_claim = false;
@@ -282,7 +282,7 @@
     }
     if (m_divisor > 0 || m_verified > 0) {
       m_divisor = 0;
-      OnStoreRestored(now);
+      ForgetClaim(now);
     }
   }
   if (!m_has_list) {
--- a/lib/quota/fleet_quota_shares.cc
+++ b/lib/quota/fleet_quota_shares.cc
@@ -23,6 +23,11 @@
 /// others, or has just taken over the slot.
 constexpr double kMinGroupShare = 0.5;
 
+/// The delay between reads of the latest list doubles up to this one while
+/// lists are read and the other VMs leave no share. It does not while the store
+/// does not answer.
+constexpr Millis kMaxListDelay{16'000};
+
 constexpr SlotMask MaskOf(size_t slot) {
   return SlotMask{1} << slot;
 }
--- a/tools/tanagervane-node/node.h
+++ b/tools/tanagervane-node/node.h
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include "absl/status/status.h"
-#include "platform/object_codec.h"
 #include "platform/store_client.h"
 #include "tanagervane/fleet/fleet_size.h"
 #include "tanagervane/fleet/latest_watchers.h"
@@ -83,7 +82,9 @@
   KindWatcherHooks ConfigHooks();
   KindWatcherHooks ReplicaHooks();
   VmRegistryHooks RegistryHooks();
-  VmRegistration MakeRegistration();
+  /// Returns the request body that creates this VM's registration, or replaces
+  /// it at a revision.
+  std::string EncodeRegistration(uint64_t claim, uint64_t revision);
 
   // Callers.
   void OnCallerRequest(ExchangeId exchange, HttpRequestMessage message);
--- a/tools/tanagervane-node/node_store.cc
+++ b/tools/tanagervane-node/node_store.cc
@@ -290,16 +290,13 @@
 VmRegistryHooks Node::RegistryHooks() {
   VmRegistryHooks hooks;
   hooks.create = [this](VmRegistryHooks::WriteDone done) {
-    m_store->Create(StoreKind::kVms, EncodeVm(MakeRegistration()),
+    m_store->Create(StoreKind::kVms, EncodeRegistration(m_quota->claim(), 0),
                     std::move(done));
   };
   hooks.replace = [this](uint64_t revision, uint64_t claim,
                          VmRegistryHooks::WriteDone done) {
-    VmRegistration registration = MakeRegistration();
-    registration.claim = claim;
-    registration.expected_revision = revision;
-    m_store->Replace(StoreKind::kVms, m_settings.id, EncodeVm(registration),
-                     std::move(done));
+    m_store->Replace(StoreKind::kVms, m_settings.id,
+                     EncodeRegistration(claim, revision), std::move(done));
   };
   hooks.remove = [this](std::string_view id) {
     LogEvent("vm_deregistered").Field("vm", id);
@@ -333,13 +330,12 @@
   return hooks;
 }
 
-VmRegistration Node::MakeRegistration() {
-  VmRegistration registration;
-  registration.id = m_settings.id;
-  registration.gossip_address = m_settings.gossip_address;
-  registration.claim = m_quota->claim();
-  registration.write = ++m_registration_writes;
-  return registration;
+std::string Node::EncodeRegistration(uint64_t claim, uint64_t revision) {
+  return EncodeVm({.id = m_settings.id,
+                   .gossip_address = m_settings.gossip_address,
+                   .claim = claim,
+                   .write = ++m_registration_writes,
+                   .expected_revision = revision});
 }
 
 void Node::OnRegistryRead() {
